--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -13,6 +13,7 @@
 from dotterelpitch.gateway.ingress import Ingress
 from dotterelpitch.gateway.peer_book import PeerBook
 from dotterelpitch.gateway.peers import Peers
+from dotterelpitch.gateway.reload import SettingsReload
 from dotterelpitch.gateway.settings import GatewaySettings
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.store_feed import StoreFeed
@@ -89,7 +90,10 @@
         self.ingress = Ingress(self._clock, self.state, forwarder)
         self.handlers = HandlerTable()
         self._identity = Identity.create(vm.vm_name, "gateway", settings.cluster_key)
+        self._book = PeerBook(self._clock, vm.peer_listen, vm.seeds)
         self._peers = self._make_peers()
+        self._store: StoreClient | None = None
+        self._reload = SettingsReload(settings.settings, vm, self._apply)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is open."""
@@ -109,8 +113,8 @@
         inner = InnerServer(self._identity, self.handlers)
         await inner.start(self._vm.peer_listen)
         async with aiohttp.ClientSession() as session:
-            store = StoreClient(self._vm.store_address, session)
-            feed = StoreFeed(self.state, store, self._settings.watch_seconds)
+            self._store = StoreClient(self._vm.store_address, session)
+            feed = StoreFeed(self.state, self._store, self._settings.watch_seconds)
             tasks = [
                 asyncio.create_task(feed.run()),
                 asyncio.create_task(self._peers.run()),
@@ -129,13 +133,12 @@
 
     def _make_peers(self) -> Peers:
         address = self._vm.peer_listen
-        book = PeerBook(self._clock, address, self._vm.seeds)
         digests = Digests(
             self._vm.vm_name,
             address,
             self._clock,
             self.state,
-            book,
+            self._book,
             self.loads,
             self.retries,
             self.suspects,
@@ -145,7 +148,7 @@
             address,
             self._clock,
             self.state,
-            book,
+            self._book,
             digests,
             self._settings.digest_seconds,
         )
@@ -180,6 +183,7 @@
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
             self.pool.sweep()
+            self._reload.check()
             known_ids = self.state.directory.remembered_ids()
             self.health.retain(known_ids)
             self.error_rates.retain(known_ids)
@@ -189,10 +193,18 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
-
-    def _reload(self) -> None:
-        log_event(Event.SETTINGS_RELOADED, vm=self._vm.vm_name, changed=[])
+        loop.add_signal_handler(signal.SIGHUP, self._reload.reload)
+
+    def _apply(self, vm: VmSettings) -> None:
+        """Take over the settings that need no new start."""
+        self._book.set_seeds(vm.seeds)
+        self.retries.set_bounds(
+            vm.promises.retry_share,
+            vm.promises.retry_slack,
+            vm.promises.retry_window_s,
+        )
+        if self._store is not None:
+            self._store.set_address(vm.store_address)
 
 
 async def _listen(server: web.Server, address: str) -> asyncio.Server:
--- a/dotterelpitch/gateway/peer_book.py
+++ b/dotterelpitch/gateway/peer_book.py
@@ -30,6 +30,10 @@
     _seeds: Iterable[str] = field(converter=tuple)
     _reached_at_by_address: dict[str, float] = field(factory=dict)
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Replace the seeds."""
+        self._seeds = tuple(seeds)
+
     def heard_of(self, addresses: Iterable[str]) -> None:
         """Take in addresses that a peer has reached lately."""
         now = self._clock.monotonic()
--- /dev/null
+++ b/dotterelpitch/gateway/reload.py
@@ -0,0 +1,60 @@
+"""Reads the platform's settings file again, on a signal or when it changes."""
+
+import os
+from collections.abc import Callable
+
+import attrs
+
+from dotterelpitch.errors import SettingsError
+from dotterelpitch.platform.vm_settings import VmSettings, read_vm_settings
+from dotterelpitch.telemetry.events import Event, log_event
+
+# What a running process can take over; the rest is read by a start only.
+LIVE_FIELDS = frozenset({"seeds", "store_address", "promises"})
+
+Apply = Callable[[VmSettings], None]
+
+
+class SettingsReload:
+    """Hands changed settings to ``apply``; a bad file changes nothing."""
+
+    def __init__(self, path: str, current: VmSettings, apply: Apply) -> None:
+        self._path = path
+        self._current = current
+        self._apply = apply
+        self._stamp = self._read_stamp()
+
+    def check(self) -> None:
+        """Reload the file if it has changed since it was read last."""
+        if self._read_stamp() != self._stamp:
+            self.reload()
+
+    def reload(self) -> None:
+        """Read the file and take over what a running process can."""
+        self._stamp = self._read_stamp()
+        try:
+            new = read_vm_settings(self._path)
+        except SettingsError as error:
+            log_event(Event.SETTINGS_KEPT, reason=str(error))
+            return
+        changed = _changed_fields(self._current, new)
+        self._current = new
+        self._apply(new)
+        log_event(
+            Event.SETTINGS_RELOADED,
+            changed=sorted(changed),
+            needs_restart=sorted(changed - LIVE_FIELDS),
+        )
+
+    def _read_stamp(self) -> tuple[int, int] | None:
+        """Return what changes with the file; None while it isn't there."""
+        try:
+            status = os.stat(self._path)
+        except OSError:
+            return None
+        return status.st_mtime_ns, status.st_size
+
+
+def _changed_fields(old: VmSettings, new: VmSettings) -> set[str]:
+    names = [field.name for field in attrs.fields(VmSettings)]
+    return {name for name in names if getattr(old, name) != getattr(new, name)}
--- a/dotterelpitch/platform/store.py
+++ b/dotterelpitch/platform/store.py
@@ -43,8 +43,12 @@
     """Reads the platform's store over one aiohttp session."""
 
     def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
-        self._url = f"http://{address}"
         self._session = session
+        self.set_address(address)
+
+    def set_address(self, address: str) -> None:
+        """Send the calls from now on to ``address`` (``IP:port``)."""
+        self._url = f"http://{address}"
 
     async def read_all(self, prefix: str) -> StoreAnswer:
         """Return all records whose key begins with ``prefix``.
--- a/dotterelpitch/routing/error_rates.py
+++ b/dotterelpitch/routing/error_rates.py
@@ -5,6 +5,7 @@
 best engine beside it: when all fail alike, none is avoided.
 """
 
+import math
 from collections.abc import Sequence
 
 from attrs import define, field
@@ -59,21 +60,33 @@
 
     def success(self, engine_id: str) -> float:
         """Return the part of an engine's requests that succeed lately."""
-        outcomes = self._outcomes_by_engine.get(engine_id)
-        if outcomes is None:
-            return 1.0
-        outcomes.decay(self._clock.monotonic())
-        return 1.0 - outcomes.failed / (outcomes.total + PRIOR_OUTCOMES)
+        return self._success(engine_id)[0]
 
     def shares(self, engine_ids: Sequence[str]) -> dict[str, float]:
-        """Return the share of usual work of each engine; that of the best is 1."""
-        success_by_id = {engine_id: self.success(engine_id) for engine_id in engine_ids}
-        best = max(success_by_id.values(), default=1.0)
+        """Return the share of usual work of each engine, at most 1.
+
+        A difference from the best engine counts as far as it is larger than
+        chance makes it, since one VM sees only few outcomes of an engine.
+        """
+        success_by_id = {
+            engine_id: self._success(engine_id) for engine_id in engine_ids
+        }
+        best = max((success for success, _ in success_by_id.values()), default=1.0)
         return {
-            engine_id: (success / best) ** STEEPNESS if best else 1.0
-            for engine_id, success in success_by_id.items()
+            engine_id: min(1.0, (success + error) / best) ** STEEPNESS
+            for engine_id, (success, error) in success_by_id.items()
         }
 
+    def _success(self, engine_id: str) -> tuple[float, float]:
+        """Return the part that succeeds and its standard error."""
+        outcomes = self._outcomes_by_engine.get(engine_id)
+        if outcomes is None:
+            return 1.0, 0.0
+        outcomes.decay(self._clock.monotonic())
+        total = outcomes.total + PRIOR_OUTCOMES
+        success = 1.0 - outcomes.failed / total
+        return success, math.sqrt(success * (1.0 - success) / total)
+
     def retain(self, engine_ids: set[str]) -> None:
         """Forget every engine that isn't in ``engine_ids``."""
         for engine_id in self._outcomes_by_engine.keys() - engine_ids:
--- a/dotterelpitch/routing/retry_window.py
+++ b/dotterelpitch/routing/retry_window.py
@@ -37,6 +37,12 @@
     _requests_by_service: dict[str, deque[float]] = field(factory=dict)
     _repeats_by_service: dict[str, deque[float]] = field(factory=dict)
 
+    def set_bounds(self, share: float, slack: float, window_s: float) -> None:
+        """Set the budget of the whole fleet."""
+        self.share = share
+        self.slack = slack
+        self.window_s = window_s
+
     def set_vms(self, count: int) -> None:
         """Set how many VMs share the budget, this one included."""
         self._vms = max(1, count)
--- /dev/null
+++ b/tests/harness/gateway_world.py
@@ -0,0 +1,200 @@
+"""Real gateway processes between a scripted store and scripted engines."""
+
+import asyncio
+import json
+from pathlib import Path
+
+import aiohttp
+
+from tests.harness.platform_store import PlatformStore
+from tests.harness.ports import free_address
+from tests.harness.processes import Process
+from tests.harness.scripted_engine import ScriptedEngine
+from tests.harness.waiting import eventually
+
+HOST = "calls.example"
+KEY = "key-1"
+ACCOUNT = "packers"
+START_SECONDS = 15.0
+GRACE_SECONDS = 5
+
+ROUTES = {
+    "safe": {"kind": "safe", "max_attempts": 2},
+    "unsafe": {"kind": "unsafe", "max_attempts": 1},
+    "stream": {"kind": "streaming", "max_attempts": 1, "stream_resume": False},
+    "resumable": {"kind": "streaming", "max_attempts": 2, "stream_resume": True},
+    "quick": {"kind": "unsafe", "max_attempts": 1, "timeout_ms": 300},
+    "open": {"kind": "safe", "max_attempts": 1, "public": True},
+}
+
+
+def config(version: int, routes: dict = ROUTES, keys: tuple = (KEY,)) -> dict:
+    """Return a config record with one route a kind of request."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": name,
+                "host": HOST,
+                "path_prefix": f"/{name}/",
+                "timeout_ms": 5000,
+                "slo_ms": 500,
+                "service": "calls",
+                "public": False,
+                **route,
+            }
+            for name, route in routes.items()
+        ],
+        "services": [{"name": "calls", "max_conns": 100}],
+        "limits": {"max_body_bytes": 100_000},
+        "tenants": [{"name": ACCOUNT, "api_keys": list(keys)}],
+    }
+
+
+class Gateway:
+    """One gateway process and its addresses."""
+
+    def __init__(self, name: str, folder: Path, store: str, seeds: list[str]) -> None:
+        self.callers = free_address()
+        self.ready = free_address()
+        self.peers = free_address()
+        self.metrics = free_address()
+        self.settings_path = folder / f"{name}.json"
+        self._name = name
+        self.write_settings(store, seeds)
+        self.process = Process(
+            name,
+            "dotterelpitch.gateway",
+            {"settings": str(self.settings_path)},
+            logs_to_stdout=True,
+        )
+
+    def write_settings(self, store: str, seeds: list[str], **changes) -> None:
+        """Write the settings file as the platform does."""
+        ip, _, port = self.metrics.rpartition(":")
+        content = {
+            "node_name": self._name,
+            "zone": "a",
+            "ip": ip,
+            "listen": {
+                "front": self.callers,
+                "ready": self.ready,
+                "control": self.peers,
+            },
+            "internal_ports": [int(port), int(port)],
+            "seeds": seeds,
+            "limits": {"memory_mb": 300},
+            "bounds": {
+                "grace_s": GRACE_SECONDS,
+                "retry_budget": 0.2,
+                "retry_slack": 6400,
+                "budget_window_s": 10,
+                "cap_x": 2,
+            },
+            "platform": {"address": store},
+            **changes,
+        }
+        self.settings_path.write_text(json.dumps(content))
+
+    async def ready_status(self) -> int:
+        """Return what the balancer sees."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{self.ready}/v1/ready") as response,
+        ):
+            return response.status
+
+    async def wait_ready(self, status: int = 200) -> None:
+        """Return once the balancer sees ``status``."""
+
+        async def has_status() -> bool:
+            return await self.ready_status() == status
+
+        await eventually(has_status, START_SECONDS, f"{self._name} answers {status}")
+
+
+class GatewayWorld:
+    """A store, two engines, and the gateways that a test starts."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = PlatformStore()
+        self.engines = [ScriptedEngine("e1"), ScriptedEngine("e2")]
+        self.gateways: list[Gateway] = []
+        self._folder = folder
+
+    async def start(self, gateways: int = 1) -> Gateway:
+        """Start all; return the first gateway once it is ready."""
+        await self.store.start(free_address())
+        self.store.put("op/config", config(1))
+        for engine in self.engines:
+            await engine.start(free_address())
+            self.list_engine(engine)
+        for _ in range(gateways):
+            self.add_gateway(self.store.address)
+        for gateway in self.gateways:
+            await gateway.process.start()
+        for gateway in self.gateways:
+            await gateway.wait_ready()
+        return self.gateways[0]
+
+    def add_gateway(self, store: str) -> Gateway:
+        """Return a gateway that isn't started yet; the first one is its seed."""
+        seeds = [self.gateways[0].peers] if self.gateways else []
+        name = f"vm{len(self.gateways) + 1}"
+        gateway = Gateway(name, self._folder, store, seeds)
+        self.gateways.append(gateway)
+        return gateway
+
+    def list_engine(self, engine: ScriptedEngine, state: str = "ready") -> None:
+        """Register an engine."""
+        content = {
+            "service": "calls",
+            "address": engine.address,
+            "zone": "a",
+            "state": state,
+            "capacity": 4,
+        }
+        self.store.put(f"servers/{engine.id}", content)
+
+    def exchanges(self) -> list:
+        """Return the requests that any engine has had."""
+        return [e for engine in self.engines for e in engine.exchanges]
+
+    async def stop(self) -> None:
+        """End what was started."""
+        for gateway in self.gateways:
+            await gateway.process.kill()
+        for engine in self.engines:
+            await engine.stop()
+        await self.store.stop()
+
+
+async def send_raw(address: str, data: bytes, timeout: float = 8.0) -> bytes:
+    """Send bytes on a new connection and return all that comes until its end."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(data)
+        async with asyncio.timeout(timeout):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+def request_bytes(
+    path: str,
+    method: str = "GET",
+    body: bytes = b"",
+    key: str = KEY,
+    headers: tuple[str, ...] = (),
+    close: bool = True,
+) -> bytes:
+    """Return the bytes of one request to the world's host."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", "Request-Id: r1"]
+    if key:
+        lines.append(f"Credential: {key}")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    if close:
+        lines.append("Connection: close")
+    return "\r\n".join([*lines, *headers, "", ""]).encode() + body
--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -28,9 +28,15 @@
     """
 
     def __init__(
-        self, name: str, module: str, flags: dict[str, Any], *arguments: str
+        self,
+        name: str,
+        module: str,
+        flags: dict[str, Any],
+        *arguments: str,
+        logs_to_stdout: bool = False,
     ) -> None:
         self.name = name
+        self._logs_to_stdout = logs_to_stdout
         self.lines: list[str] = []
         self.started_at = 0.0
         self._module = module
@@ -47,12 +53,15 @@
             self._module,
             *self._arguments,
             stdin=asyncio.subprocess.DEVNULL,
-            stdout=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
             env=_child_environment(),
             limit=MAX_LINE_BYTES,
         )
-        self._collector = asyncio.create_task(self._collect(self._child.stderr))
+        log, other = self._child.stderr, self._child.stdout
+        if self._logs_to_stdout:
+            log, other = other, log
+        self._collector = asyncio.create_task(self._collect(log, other))
 
     @property
     def pid(self) -> int:
@@ -113,7 +122,7 @@
             _, brace, rest = line.partition("{")
             with contextlib.suppress(ValueError):
                 event = json.loads(brace + rest)
-                event["logged_at"] = _logged_at(line)
+                event["logged_at"] = event.get("at") or _logged_at(line)
                 if number in (0, event.get("event")):
                     found.append(event)
         return found
@@ -126,7 +135,12 @@
         """Return what the process wrote to standard error."""
         return "\n".join(self.lines)
 
-    async def _collect(self, stream: asyncio.StreamReader) -> None:
+    async def _collect(
+        self, log: asyncio.StreamReader, other: asyncio.StreamReader
+    ) -> None:
+        await asyncio.gather(self._keep_lines(log), self._keep_lines(other))
+
+    async def _keep_lines(self, stream: asyncio.StreamReader) -> None:
         async for line in stream:
             self.lines.append(line.decode(errors="replace").rstrip())
             if len(self.lines) > MAX_KEPT_LINES:
--- /dev/null
+++ b/tests/test_engine_choice.py
@@ -0,0 +1,201 @@
+"""Where requests go under the loads that heavy days bring, without a network.
+
+Each table names the pattern that it answers.
+"""
+
+import random
+from collections import Counter
+
+import pytest
+
+from dotterelpitch.clock import ManualClock
+from dotterelpitch.routing.domain_reach import DomainReach
+from dotterelpitch.routing.engine_choice import EngineChooser, Reason
+from dotterelpitch.routing.engines import Engine, EngineDirectory
+from dotterelpitch.routing.error_rates import ErrorRates
+from dotterelpitch.routing.fleet_loads import FleetLoads
+from dotterelpitch.routing.health import EngineHealth, Failure
+
+SERVICE = "chat"
+DOMAINS = ("a", "b", "c")
+# The deployments allow twice the mean and 3 more.
+ALLOWED_MULTIPLE = 2.0
+ALLOWED_SLACK = 3.0
+
+
+class Fleet:
+    """One VM's decisions over nine engines in three failure domains."""
+
+    def __init__(self, engines=9):
+        self.clock = ManualClock(1000.0)
+        self.directory = EngineDirectory(self.clock)
+        self.loads = FleetLoads(self.clock)
+        self.health = EngineHealth(self.clock)
+        self.errors = ErrorRates(self.clock)
+        self.reach = DomainReach(self.clock, "a")
+        self.chooser = EngineChooser(
+            self.directory,
+            self.loads,
+            self.health,
+            self.errors,
+            self.reach,
+            random.Random(7),
+        )
+        for n in range(engines):
+            self.add(f"e{n}", DOMAINS[n % 3])
+        self.directory.mark_settled()
+
+    def add(self, engine_id, domain="a"):
+        self.directory.put(Engine(engine_id, SERVICE, f"127.0.0.1:{id(self)}", domain))
+
+    def choose(self, key="", **more):
+        return self.chooser.choose(SERVICE, key, **more)
+
+    def usual(self, key):
+        return self.choose(key).engine.id
+
+
+def test_returning_chats_find_their_engine_at_every_vm():
+    first, second = Fleet(), Fleet()
+    for n in range(200):
+        choice = first.choose(f"chat-{n}")
+        assert choice.reason is Reason.CACHED
+        assert choice.cache_source is None
+        assert second.usual(f"chat-{n}") == choice.engine.id
+
+
+@pytest.mark.parametrize("hot_share", [0.2, 0.3, 0.5])
+def test_hot_key_stays_within_the_load_bound(hot_share):
+    """Pattern: one key gets much of a class's traffic (``hot_key``)."""
+    fleet = Fleet()
+    seeded = random.Random(3)
+    running = []
+    for _ in range(3_000):
+        is_hot = seeded.random() < hot_share
+        key = "hot" if is_hot else f"chat-{seeded.randrange(142)}"
+        choice = fleet.choose(key)
+        fleet.loads.started(choice.engine.id)
+        running.append(choice.engine.id)
+        loads = fleet.loads.loads(f"e{n}" for n in range(9))
+        mean = sum(loads.values()) / 9
+        assert max(loads.values()) <= ALLOWED_MULTIPLE * mean + ALLOWED_SLACK
+        if len(running) > 60:
+            fleet.loads.ended(running.pop(seeded.randrange(len(running))))
+
+
+def test_an_engine_passed_over_gives_its_cache_to_the_next():
+    """Pattern: a hot key spills to another engine, which copies the prompt."""
+    fleet = Fleet()
+    usual = fleet.usual("hot")
+    for _ in range(20):
+        fleet.loads.started(usual)
+    choice = fleet.choose("hot")
+    assert choice.engine.id != usual
+    assert choice.reason is Reason.BOUND
+    assert choice.cache_source.id == usual
+
+
+def test_a_replaced_engine_hands_its_chats_over_by_copying():
+    """Pattern: engines are replaced one after the other (``release``)."""
+    fleet = Fleet()
+    keys = [f"chat-{n}" for n in range(300)]
+    usual_by_key = {key: fleet.usual(key) for key in keys}
+    fleet.add("new")
+    leaving = Engine("e4", SERVICE, "127.0.0.1:4", "b", is_leaving=True)
+    fleet.directory.put(leaving)
+    for key in keys:
+        choice = fleet.choose(key)
+        assert choice.engine.id != "e4"
+        moved = choice.engine.id != usual_by_key[key]
+        source = choice.cache_source.id if choice.cache_source else None
+        assert source == (usual_by_key[key] if moved else None)
+
+
+def test_a_suspect_is_no_source_of_a_copy():
+    """Pattern: an engine crashes; copying from it would delay the first token."""
+    fleet = Fleet()
+    usual = fleet.usual("chat")
+    fleet.health.failed(usual, Failure.REFUSED)
+    choice = fleet.choose("chat")
+    assert choice.engine.id != usual
+    assert choice.reason is Reason.SUSPECT
+    assert choice.cache_source is None
+    fleet.clock.advance(1.1)  # It may be probed now, but isn't trusted yet.
+    assert fleet.choose("chat").cache_source is None
+
+
+def test_one_repeatable_request_at_a_time_probes_a_suspect():
+    """Pattern: a crashed engine comes back; many callers wait for it."""
+    fleet = Fleet()
+    usual = fleet.usual("chat")
+    fleet.health.failed(usual, Failure.REFUSED)
+    fleet.clock.advance(1.1)
+    assert fleet.usual("chat") != usual
+    assert fleet.choose("chat", may_probe=True).engine.id == usual
+    fleet.loads.started(usual)
+    assert fleet.choose("chat", may_probe=True).engine.id != usual
+
+
+@pytest.mark.parametrize("key", ["", "chat"])
+def test_a_cut_domain_is_passed_over_after_two_silent_engines(key):
+    """Pattern: a failure domain is cut off (``zone_cut``, silent)."""
+    fleet = Fleet()
+    for engine_id in ("e1", "e4"):
+        fleet.reach.unreachable("b", engine_id)
+    domains = {
+        fleet.choose(f"{key}{n}" if key else "").engine.failure_domain
+        for n in range(100)
+    }
+    assert "b" not in domains
+    fleet.reach.answered("b")
+    assert any(fleet.choose(f"x{n}").engine.failure_domain == "b" for n in range(100))
+
+
+def test_with_all_engines_suspect_work_goes_on():
+    """Pattern: this VM is cut off, or a fault hits all engines at once."""
+    fleet = Fleet()
+    for n in range(9):
+        fleet.health.failed(f"e{n}", Failure.REFUSED)
+    assert fleet.choose("chat") is not None
+    assert fleet.choose() is not None
+
+
+def play_failures(fleet, failed_part_by_engine, requests=3_000, running=6):
+    """Send requests of equal length; return how many each engine got."""
+    seeded = random.Random(5)
+    counts = Counter()
+    open_ids = []
+    for _ in range(requests):
+        fleet.clock.advance(0.02)
+        engine_id = fleet.choose().engine.id
+        counts[engine_id] += 1
+        fleet.loads.started(engine_id)
+        open_ids.append(engine_id)
+        if len(open_ids) <= running:
+            continue
+        ended = open_ids.pop(0)
+        fleet.loads.ended(ended)
+        fleet.errors.note(ended, seeded.random() < failed_part_by_engine.get(ended, 0))
+    return counts
+
+
+@pytest.mark.parametrize(
+    "failed_parts",
+    [
+        {"e0": 0.45},
+        {"e1": 0.45},
+        {"e0": 0.45, "e1": 0.14, "e2": 0.14},
+        {"e0": 0.9},
+    ],
+)
+def test_grey_engines_get_less_than_half_of_their_part(failed_parts):
+    """Pattern: an engine fails part of its requests (``srv_grey`` errors)."""
+    counts = play_failures(Fleet(engines=3), failed_parts)
+    grey = max(failed_parts, key=failed_parts.get)
+    assert counts[grey] < 3_000 / 3 / 2
+
+
+def test_errors_of_all_engines_avoid_none():
+    """Pattern: all engines fail alike (``srv_grey`` all)."""
+    counts = play_failures(Fleet(engines=3), {"e0": 0.45, "e1": 0.45, "e2": 0.45})
+    assert min(counts.values()) > 3_000 / 3 / 2
--- /dev/null
+++ b/tests/test_event_sequence.py
@@ -0,0 +1,36 @@
+"""Events of a stream over several engines: each one once and whole."""
+
+import pytest
+
+from dotterelpitch.gateway.event_sequence import EventSequence
+
+
+def event(number, text=b"x"):
+    return b"id: %d\ndata: %s\n\n" % (number, text)
+
+
+@pytest.mark.parametrize(
+    ("chunks", "expected", "last_id"),
+    [
+        ([event(1) + event(2)], event(1) + event(2), "2"),
+        ([event(1)[:7], event(1)[7:]], event(1), "1"),
+        ([bytes([b]) for b in event(1) + event(2)], event(1) + event(2), "2"),
+        ([event(1), event(2)[:-1]], event(1), "1"),
+        ([event(2), event(2), event(1), event(3)], event(2) + event(3), "3"),
+        ([b"data: no id\n\n"], b"data: no id\n\n", ""),
+        ([b"weight-versions: 4\n" + event(5)], b"weight-versions: 4\n" + event(5), "5"),
+    ],
+)
+def test_whole_new_events_are_passed_on(chunks, expected, last_id):
+    events = EventSequence()
+    assert b"".join(events.feed(chunk) for chunk in chunks) == expected
+    assert events.last_id == last_id
+
+
+def test_a_resumed_stream_drops_what_was_passed_on():
+    events = EventSequence()
+    events.feed(event(1) + event(2) + event(3)[:5])
+    assert events.has_partial_event
+    events.restart()
+    assert not events.has_partial_event
+    assert events.feed(event(2) + event(3)) == event(3)
--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,441 @@
+"""A real gateway process between callers, the platform's store, and engines."""
+
+import asyncio
+import signal
+
+import aiohttp
+import pytest
+
+from tests.harness.gateway_world import (
+    ACCOUNT,
+    HOST,
+    KEY,
+    ROUTES,
+    GatewayWorld,
+    config,
+    request_bytes,
+    send_raw,
+)
+from tests.harness.ports import free_address
+from tests.harness.scripted_engine import answer
+from tests.harness.waiting import eventually, pause
+
+APPLY_SECONDS = 2.0
+GONE_SECONDS = 0.5
+
+
+@pytest.fixture
+async def world(tmp_path):
+    world = GatewayWorld(tmp_path)
+    yield world
+    await world.stop()
+
+
+# What an engine does to one request.
+
+
+async def reset(exchange):
+    exchange.reset()
+
+
+async def reset_in_body(exchange):
+    exchange.write_head("200 OK", "Content-Length: 10")
+    exchange.writer.write(b"half")
+    await exchange.writer.drain()
+    await pause(0.05)
+    exchange.reset()
+
+
+async def reset_without_length(exchange):
+    exchange.write_head("200 OK")
+    exchange.writer.write(b"half")
+    await exchange.writer.drain()
+    await pause(0.05)
+    exchange.reset()
+
+
+async def fail(exchange):
+    exchange.write_head("500 Internal Server Error", "Content-Length: 4")
+    exchange.writer.write(b"oops")
+
+
+async def shed(exchange):
+    exchange.write_head(
+        "503 Service Unavailable", "Not-Executed: 1", "Content-Length: 0"
+    )
+
+
+async def be_another(exchange):
+    exchange.write_head("421 Misdirected Request", "Content-Length: 0")
+
+
+async def be_silent(exchange):
+    await exchange.caller_left.wait()
+
+
+async def answer_without_seal(exchange):
+    head = f"HTTP/1.1 200 OK\r\nRequest-Id: {exchange.header('Request-Id')}\r\n"
+    exchange.writer.write(head.encode() + b"Content-Length: 2\r\n\r\nhi")
+
+
+async def answer_another_first(exchange):
+    exchange.writer.write(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nResponse-Seal: old\r\n"
+        b"Content-Length: 3\r\n\r\nold"
+    )
+    await answer(exchange)
+
+
+async def garbage(exchange):
+    exchange.writer.write(b"\x01\x02 no answer at all\r\n\r\n")
+
+
+def event(number):
+    return b"id: %d\ndata: x\n\n" % number
+
+
+def stream(last, cut_after=None, cut_inside=False):
+    """Return a behaviour that sends the events up to ``last``, or breaks off."""
+
+    async def behaviour(exchange):
+        first = int(exchange.header("Last-Event-Id") or 0) + 1
+        exchange.write_head(
+            "200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"
+        )
+        for number in range(first, last + 1):
+            exchange.write_chunk(event(number))
+            await exchange.writer.drain()
+            if number == cut_after:
+                if cut_inside:
+                    exchange.write_chunk(event(number + 1)[:7])
+                    await exchange.writer.drain()
+                await pause(0.05)
+                exchange.reset()
+                return
+        exchange.write_chunk(b"")
+
+    return behaviour
+
+
+@pytest.mark.parametrize(
+    ("route", "script", "status", "sent"),
+    [
+        ("safe", [answer], 200, 1),
+        ("safe", [reset, answer], 200, 2),
+        ("safe", [reset_in_body, answer], 200, 2),
+        ("safe", [reset_without_length, answer], 200, 2),
+        ("safe", [garbage, answer], 200, 2),
+        ("safe", [answer_without_seal, answer], 200, 2),
+        ("safe", [fail, answer], 200, 2),
+        ("safe", [be_silent, answer], 200, 2),
+        ("safe", [shed, answer], 200, 2),
+        ("safe", [be_another, answer], 200, 2),
+        ("safe", [fail, fail], 500, 2),
+        ("safe", [reset, reset], 502, 2),
+        ("safe", [reset, shed], 502, 2),
+        ("safe", [shed, shed], 503, 2),
+        ("safe", [answer_another_first], 200, 1),
+        ("unsafe", [answer], 200, 1),
+        ("unsafe", [reset], 502, 1),
+        ("unsafe", [reset_in_body], 502, 1),
+        ("unsafe", [reset_without_length], 502, 1),
+        ("unsafe", [garbage], 502, 1),
+        ("unsafe", [answer_without_seal], 502, 1),
+        ("unsafe", [fail], 500, 1),
+        ("unsafe", [shed], 503, 1),
+        ("unsafe", [be_another], 503, 1),
+        ("unsafe", [answer_another_first], 200, 1),
+        ("quick", [be_silent], 504, 1),
+        ("stream", [fail], 500, 1),
+        ("stream", [reset], 502, 1),
+        ("resumable", [reset, stream(2)], 200, 2),
+    ],
+)
+async def test_what_came_back_decides_what_the_caller_gets(
+    world, route, script, status, sent
+):
+    gateway = await world.start()
+    shared = list(script)
+    for engine in world.engines:
+        engine.script = shared
+    found = await send_raw(gateway.callers, request_bytes(f"/{route}/1"))
+    head, _, body = found.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status), found
+    assert len(world.exchanges()) == sent
+    if status == 503:
+        assert b"Retry-After: " in head
+        assert b'"not-run"' in body
+    if status in (502, 504):
+        assert b'"unknown"' in body
+        assert b"Response-Seal" not in head
+    if status in (200, 500):
+        assert head.count(b"Response-Seal: s") == 1
+
+
+@pytest.mark.parametrize(
+    ("route", "scripts", "events", "is_whole"),
+    [
+        ("stream", [stream(5)], 5, True),
+        ("stream", [stream(5, cut_after=2)], 2, False),
+        ("resumable", [stream(5, cut_after=2), stream(5)], 5, True),
+        ("resumable", [stream(5, 2, cut_inside=True), stream(5)], 5, True),
+        ("resumable", [stream(5, cut_after=2), stream(5, cut_after=4)], 4, False),
+        ("resumable", [stream(5, cut_after=2), fail], 2, False),
+    ],
+)
+async def test_a_stream_is_whole_or_visibly_broken_off(
+    world, route, scripts, events, is_whole
+):
+    gateway = await world.start()
+    shared = list(scripts)
+    for engine in world.engines:
+        engine.script = shared
+    received = b""
+    url = f"http://{gateway.callers}/{route}/1"
+    headers = {"Host": HOST, "Request-Id": "r1", "Credential": KEY}
+    complete = False
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(url, headers=headers) as response,
+    ):
+        try:
+            async for data in response.content.iter_any():
+                received += data
+            complete = True
+        except aiohttp.ClientError:
+            pass
+    assert received == b"".join(event(n) for n in range(1, events + 1))
+    assert complete is is_whole
+
+
+async def test_a_refused_connection_sends_even_an_unsafe_call_elsewhere(world):
+    gateway = await world.start()
+    await world.engines[0].stop()
+    for _ in range(6):
+        found = await send_raw(gateway.callers, request_bytes("/unsafe/1"))
+        assert found.startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize(
+    "target",
+    [
+        "/safe/%2e%2e/a//b/./c?x=%41&y=&&z=%zz",
+        "/safe/ä".encode().decode("latin-1"),
+        "/safe/a;b=c?",
+        "/safe/a?#b",
+        "/safe/%00%ff",
+    ],
+)
+async def test_the_target_arrives_as_it_was_sent(world, target):
+    gateway = await world.start()
+    data = request_bytes("/T").replace(b"/T", target.encode("latin-1"), 1)
+    found = await send_raw(gateway.callers, data)
+    if b" 400 " in found[:13]:
+        assert not world.exchanges()
+        return
+    assert found.startswith(b"HTTP/1.1 200 ")
+    (exchange,) = world.exchanges()
+    assert exchange.target == target
+
+
+async def test_headers_of_the_product_are_never_the_callers(world):
+    gateway = await world.start()
+    forged = (
+        "Tenant: others",
+        "Expect-Instance: e9",
+        "Kv-From: 1",
+        "Kv-Fetch: 1",
+        "Hold: 1",
+        "Pin-Ms: 1",
+        "Kv-Backup: 1",
+        "Request-Priority: 0",
+        "X-Own: kept",
+        "X-Hop: dropped",
+        "Connection: x-hop",
+    )
+    data = request_bytes("/unsafe/1", "POST", b"abc", headers=forged, close=False)
+    host, _, port = gateway.callers.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+    writer.close()
+    (exchange,) = world.exchanges()
+    names = {name.lower() for name, _ in exchange.headers}
+    assert exchange.header("Tenant") == ACCOUNT
+    assert exchange.header("Expect-Instance") in ("e1", "e2")
+    assert exchange.header("X-Own") == "kept"
+    assert exchange.header("Request-Id") == "r1"
+    assert 0 < int(exchange.header("Deadline-Ms")) <= 5000
+    assert exchange.body == b"abc"
+    dropped = {"credential", "kv-from", "kv-fetch", "hold", "pin-ms", "kv-backup"}
+    assert not names & (dropped | {"x-hop", "request-priority"})
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (request_bytes("/other/1"), 404),
+        (request_bytes("/safe/1", key="wrong"), 401),
+        (request_bytes("/safe/1", key=""), 401),
+        (request_bytes("/open/1", key=""), 200),
+        (request_bytes("/safe/1", "POST", b"x" * 100_001), 413),
+        (
+            request_bytes("/safe/1", "POST", b"3\r\nabc\r\n0\r\n\r\n").replace(
+                b"Content-Length: 13", b"Transfer-Encoding: chunked"
+            ),
+            200,
+        ),
+        (
+            request_bytes(
+                "/safe/1", "POST", b"abc", headers=("Transfer-Encoding: chunked",)
+            ),
+            400,
+        ),
+        (request_bytes("/safe/1", "POST", b"abc", headers=("Content-Length: 4",)), 400),
+        (request_bytes("/safe/1").replace(b"Host: ", b"Host : "), 400),
+    ],
+)
+async def test_requests_that_are_answered_without_an_engine(world, data, status):
+    gateway = await world.start()
+    found = await send_raw(gateway.callers, data)
+    assert found[len(b"HTTP/1.1 ") :].startswith(b"%d " % status), found
+    assert len(world.exchanges()) == (status == 200)
+
+
+@pytest.mark.parametrize("route", ["unsafe", "safe", "stream"])
+async def test_a_caller_that_leaves_stops_the_engine(world, route):
+    gateway = await world.start()
+    for engine in world.engines:
+        engine.script = [be_silent]
+    host, _, port = gateway.callers.rpartition(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    writer.write(request_bytes(f"/{route}/1"))
+    await eventually(world.exchanges, 5.0)
+    writer.close()
+    async with asyncio.timeout(GONE_SECONDS):
+        await world.exchanges()[0].caller_left.wait()
+
+
+async def test_a_config_is_in_force_soon_and_never_goes_back(world):
+    gateway = await world.start()
+    routes = {**ROUTES, "new": {"kind": "safe", "max_attempts": 1}}
+    world.store.put("op/config", config(5, routes, keys=("key-2",)))
+
+    async def is_served():
+        found = await send_raw(gateway.callers, request_bytes("/new/1", key="key-2"))
+        return found.startswith(b"HTTP/1.1 200 ")
+
+    await eventually(is_served, APPLY_SECONDS)
+    world.store.put("op/config", config(3))
+    world.store.put("op/config", b"not a config")
+    world.store.delete("servers/e1")
+
+    def leaving_is_seen():
+        events = gateway.process.events(215)
+        return [e for e in events if e["engine"] == "e1"]
+
+    await eventually(leaving_is_seen, APPLY_SECONDS)
+    assert await is_served()
+    old_key = await send_raw(gateway.callers, request_bytes("/safe/1"))
+    assert old_key.startswith(b"HTTP/1.1 401 ")
+
+
+async def test_lost_history_is_followed_by_a_full_list(world):
+    gateway = await world.start()
+    await pause(0.2)
+    world.store.put("servers/e3", b"{}")
+    world.store.delete("servers/e1")
+    world.store.forget_history()
+    world.store.put("op/config", config(9))
+
+    def has_newest():
+        events = gateway.process.events(211)
+        return [e for e in events if e["version"] == 9]
+
+    await eventually(has_newest, 5.0)
+    for _ in range(4):
+        await send_raw(gateway.callers, request_bytes("/safe/1"))
+    assert not world.engines[0].exchanges
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+async def test_with_the_store_away_the_last_list_serves_on(world, is_silent):
+    gateway = await world.start()
+    world.store.status = 503
+    world.store.is_silent = is_silent
+    await eventually(lambda: gateway.process.events(204), 8.0)
+    found = await send_raw(gateway.callers, request_bytes("/safe/1"))
+    assert found.startswith(b"HTTP/1.1 200 ")
+    world.store.status = 200
+    world.store.is_silent = False
+    await eventually(lambda: gateway.process.events(205), 8.0)
+
+
+async def test_a_gateway_without_the_store_learns_all_from_a_peer(world):
+    await world.start()
+    cut_off = world.add_gateway(store=free_address())
+    await cut_off.process.start()
+    await cut_off.wait_ready()
+    found = await send_raw(cut_off.callers, request_bytes("/safe/1"))
+    assert found.startswith(b"HTTP/1.1 200 ")
+    world.store.put("op/config", config(7, keys=("key-2",)))
+
+    async def key_is_gone():
+        found = await send_raw(cut_off.callers, request_bytes("/safe/1"))
+        return found.startswith(b"HTTP/1.1 401 ")
+
+    await eventually(key_is_gone, APPLY_SECONDS)
+
+
+async def test_without_a_config_nobody_is_told_that_a_route_is_missing(world):
+    await world.start()
+    alone = world.add_gateway(store=free_address())
+    alone.write_settings(store=free_address(), seeds=[])
+    await alone.process.start()
+    await alone.wait_ready(503)
+    found = await send_raw(alone.callers, request_bytes("/nowhere/1"))
+    assert found.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: " in found
+
+
+async def test_a_planned_stop_finishes_what_is_open(world):
+    gateway = await world.start()
+    release = asyncio.Event()
+
+    async def answer_later(exchange):
+        await release.wait()
+        await answer(exchange)
+
+    for engine in world.engines:
+        engine.script = [answer_later]
+    data = request_bytes("/unsafe/1", close=False)
+    host, _, port = gateway.callers.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    idle_reader, idle_writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    await eventually(world.exchanges, 5.0)
+    gateway.process.send_signal(signal.SIGTERM)
+    await gateway.wait_ready(503)
+    late = await send_raw(gateway.callers, request_bytes("/safe/1"))
+    assert late.startswith(b"HTTP/1.1 200 ")
+    assert b"connection: close" in late.lower()
+    release.set()
+    answered = await reader.read()
+    assert answered.startswith(b"HTTP/1.1 200 ")
+    assert b"connection: close" in answered.lower()
+    assert await idle_reader.read() == b""
+    writer.close()
+    idle_writer.close()
+    assert await gateway.process.wait_or_kill() == 0
+
+
+async def test_sighup_and_a_changed_file_leave_the_process_serving(world):
+    gateway = await world.start()
+    gateway.settings_path.write_text("{ not json")
+    gateway.process.send_signal(signal.SIGHUP)
+    await eventually(lambda: gateway.process.events(105), 3.0)
+    gateway.write_settings(world.store.address, [], zone="b")
+    gateway.process.send_signal(signal.SIGHUP)
+    await eventually(lambda: gateway.process.events(104), 3.0)
+    found = await send_raw(gateway.callers, request_bytes("/safe/1"))
+    assert found.startswith(b"HTTP/1.1 200 ")
--- /dev/null
+++ b/tests/test_gateway_state.py
@@ -0,0 +1,137 @@
+"""What a gateway believes of config and engines, whatever the store offers."""
+
+import json
+
+import pytest
+
+from dotterelpitch.clock import ManualClock
+from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.platform.config_record import CONFIG_KEY
+from dotterelpitch.platform.store import StoreAnswer, StoreRecord
+from dotterelpitch.routing.engines import RETURN_SECONDS
+
+
+def engine_record(engine_id, **changes):
+    content = {
+        "service": "chat",
+        "address": "127.0.0.1:9",
+        "zone": "a",
+        "capacity": 4,
+        "state": "ready",
+        "call_seq": 1,
+        "born": 1,
+        **changes,
+    }
+    return StoreRecord(f"servers/{engine_id}", json.dumps(content).encode())
+
+
+def config_record(version):
+    content = {"version": version, "routes": [], "services": [], "tenants": []}
+    return StoreRecord(CONFIG_KEY, json.dumps(content).encode())
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(100.0)
+
+
+@pytest.fixture
+def state(clock):
+    state = GatewayState(clock)
+    records = (config_record(5), engine_record("e1"), engine_record("e2"))
+    state.take_list(StoreAnswer(records, 10), may_be_incomplete=False)
+    return state
+
+
+def usable_ids(state):
+    return [engine.id for engine in state.directory.usable("chat")]
+
+
+@pytest.mark.parametrize(
+    ("offered", "in_force"),
+    [
+        ([6], 6),
+        ([4], 5),
+        ([5], 5),
+        ([9, 7], 9),
+        ([6, 30, 31], 31),
+    ],
+)
+def test_a_config_is_replaced_only_by_a_higher_version(state, offered, in_force):
+    for version in offered:
+        state.take_changes(StoreAnswer((config_record(version),), 11))
+    assert state.config.version == in_force
+
+
+@pytest.mark.parametrize("value", [None, b"", b"{", b"[]", b'{"version": "9"}'])
+def test_a_config_that_cannot_be_read_leaves_the_last_one_in_force(state, value):
+    state.take_changes(StoreAnswer((StoreRecord(CONFIG_KEY, value),), 11))
+    assert state.config.version == 5
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        StoreRecord("servers/e1", None),
+        StoreRecord("servers/e1", b"\xff\x00"),
+        StoreRecord("servers/e1", b"[]"),
+        engine_record("e1", state="draining"),
+        engine_record("e1", state="resting"),
+        engine_record("e1", address="no address"),
+        engine_record("e1", address="name.example:80"),
+        engine_record("e1", address=7),
+        engine_record("e1", capacity="many"),
+        engine_record("e1", service=None),
+        engine_record("e1", service="another"),
+    ],
+)
+def test_a_record_that_names_no_usable_engine_takes_only_that_one_out(state, record):
+    state.take_changes(StoreAnswer((record,), 11))
+    assert usable_ids(state) == ["e2"]
+
+
+def test_an_engine_missing_from_a_full_list_is_gone_at_once(state):
+    state.take_list(StoreAnswer((engine_record("e2"),), 11), may_be_incomplete=False)
+    assert usable_ids(state) == ["e2"]
+
+
+def test_after_an_outage_an_engine_has_time_to_register_again(state, clock):
+    state.take_list(StoreAnswer((), 11), may_be_incomplete=True)
+    assert usable_ids(state) == ["e1", "e2"]
+    state.take_changes(StoreAnswer((engine_record("e1"),), 12))
+    clock.advance(RETURN_SECONDS + 0.1)
+    state.expire()
+    assert usable_ids(state) == ["e1"]
+
+
+def test_a_deletion_after_an_outage_counts_at_once(state):
+    state.take_list(StoreAnswer((), 11), may_be_incomplete=True)
+    state.take_changes(StoreAnswer((StoreRecord("servers/e1", None),), 12))
+    assert usable_ids(state) == ["e2"]
+
+
+@pytest.mark.parametrize(
+    ("changes", "seconds", "holders"),
+    [
+        ([engine_record("e1", state="draining")], 1.0, ["e1", "e2"]),
+        ([engine_record("e1", state="draining")], 4.0, ["e2"]),
+        ([StoreRecord("servers/e1", None)], 1.0, ["e1", "e2"]),
+        ([StoreRecord("servers/e1", None)], 2.0, ["e2"]),
+        (
+            [engine_record("e1", state="draining"), StoreRecord("servers/e1", None)],
+            0.1,
+            ["e2"],
+        ),
+        ([engine_record("e3")], 1.0, ["e1", "e2"]),
+        ([engine_record("e3")], 9.0, ["e1", "e2", "e3"]),
+        ([engine_record("e1", born=2)], 1.0, ["e2"]),
+    ],
+)
+def test_whose_cache_may_hold_what_was_read_some_time_ago(
+    state, clock, changes, seconds, holders
+):
+    for revision, change in enumerate(changes, 11):
+        state.take_changes(StoreAnswer((change,), revision))
+    clock.advance(seconds)
+    found = state.directory.cache_holders("chat", settled_s=8.0)
+    assert sorted(engine.id for engine in found) == holders
--- /dev/null
+++ b/tests/test_route_table.py
@@ -0,0 +1,164 @@
+"""Routes by host and prefix, and the platform's config record that holds them."""
+
+import json
+
+import pytest
+
+from dotterelpitch.errors import PlatformError
+from dotterelpitch.platform.config_record import decode_config
+from dotterelpitch.routing.route_table import (
+    CallerLimits,
+    CallKind,
+    Route,
+    RoutingConfig,
+    WeightedService,
+)
+
+
+def route(host, prefix, name):
+    services = (WeightedService("s", 1.0),)
+    return Route(name, host, prefix, CallKind.SAFE, services, 1.0, 0.1)
+
+
+CONFIG = RoutingConfig(
+    1,
+    [
+        route("a.example", "/", "root"),
+        route("a.example", "/x/", "x"),
+        route("a.example", "/x/y/", "xy"),
+        route("b.example", "/x/", "bx"),
+    ],
+    {},
+    {},
+    CallerLimits(),
+)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "expected"),
+    [
+        ("a.example", "/", "root"),
+        ("a.example", "/x", "root"),
+        ("a.example", "/x/", "x"),
+        ("a.example", "/x/yy", "x"),
+        ("a.example", "/x/y/z/1", "xy"),
+        ("a.example", "/x//y/", "x"),
+        ("a.example", "/x%2fy/", "root"),
+        ("A.EXAMPLE:8080", "/x/1", "x"),
+        ("b.example", "/x/1", "bx"),
+        ("b.example", "/", None),
+        ("c.example", "/x/", None),
+        ("", "/x/", None),
+        ("a.example", "*", None),
+        ("a.example", "", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(host, path, expected):
+    found = CONFIG.find_route(host, path)
+    assert (found.name if found else None) == expected
+
+
+def test_a_lookup_costs_the_same_among_many_routes():
+    """One look-up for each slash of the path at most, whatever the routes."""
+    many = [route("a.example", f"/r{n}/", f"r{n}") for n in range(5_000)]
+    config = RoutingConfig(1, many, {}, {}, CallerLimits())
+
+    class CountingPath(str):
+        slices = 0
+
+        def __getitem__(self, key):
+            CountingPath.slices += 1
+            return super().__getitem__(key)
+
+    assert config.find_route("a.example", CountingPath("/r77/a/b")).name == "r77"
+    assert CountingPath.slices <= 3
+
+
+RECORD = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h",
+            "path_prefix": "/p/",
+            "kind": "streaming",
+            "timeout_ms": 12000,
+            "slo_ms": 600,
+            "priority": 1,
+            "backends": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10},
+            ],
+            "max_attempts": 2,
+            "public": False,
+            "session_affinity": True,
+            "stream_resume": True,
+            "gap_target_ms": 300,
+        }
+    ],
+    "services": [{"name": "s1", "max_conns": 310, "engine": {"capacity": 48}}],
+    "limits": {"max_body_bytes": 10, "idle_timeout_ms": 2000},
+    "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
+    "a_new_field": {"of": ["a later version"]},
+}
+
+
+def changed(path, value):
+    content = json.loads(json.dumps(RECORD))
+    table = content
+    for step in path[:-1]:
+        table = table[step]
+    table[path[-1]] = value
+    return json.dumps(content).encode()
+
+
+def test_a_config_record_is_decoded_into_the_products_words():
+    config = decode_config(json.dumps(RECORD).encode())
+    found = config.find_route("h", "/p/1")
+    assert config.version == 7
+    assert found.services == (WeightedService("s1", 90), WeightedService("s2", 10))
+    assert (found.timeout_s, found.objective_s, found.pause_s) == (12.0, 0.6, 0.3)
+    assert found.kind is CallKind.STREAM
+    assert found.may_repeat
+    assert config.account_by_key["k2"].name == "t"
+    assert config.service_by_name["s1"].max_connections == 310
+    assert config.limits.max_body_bytes == 10
+    assert config.limits.idle_timeout_s == 2.0
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "field"),
+    [
+        (["version"], "7", "version"),
+        (["version"], True, "version"),
+        (["routes"], None, "routes"),
+        (["routes", 0, "path_prefix"], 3, "path_prefix"),
+        (["routes", 0, "timeout_ms"], "long", "timeout_ms"),
+        (["routes", 0, "backends", 0], "s1", "service"),
+        (["tenants", 0, "api_keys"], "k1", "api_keys"),
+        (["limits"], [], "limits"),
+    ],
+)
+def test_a_wrong_field_of_a_config_is_named(path, value, field):
+    with pytest.raises(PlatformError, match=field):
+        decode_config(changed(path, value))
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "may_repeat"),
+    [
+        ("safe", False, True),
+        ("unsafe", False, False),
+        ("unsafe", True, True),
+        ("streaming", False, False),
+        ("streaming", True, True),
+        ("a-new-kind", False, False),
+    ],
+)
+def test_what_may_be_repeated_follows_from_kind_and_resumption(
+    kind, resumable, may_repeat
+):
+    content = json.loads(changed(["routes", 0, "kind"], kind))
+    content["routes"][0]["stream_resume"] = resumable
+    config = decode_config(json.dumps(content).encode())
+    assert config.find_route("h", "/p/").may_repeat is may_repeat
--- /dev/null
+++ b/tests/test_upstream_connection.py
@@ -0,0 +1,147 @@
+"""Answers of engines, byte by byte: what is whole, what is cut, what is foreign."""
+
+import asyncio
+
+import pytest
+
+from dotterelpitch.upstream.connection import EngineConnection
+from dotterelpitch.upstream.errors import (
+    AnswerGarbledError,
+    AnswerLostError,
+    PathLostError,
+)
+
+OK = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s1\r\n"
+WHOLE = OK + b"Content-Length: 2\r\n\r\nhi"
+EXTRA = b"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold"
+WITHOUT_ID = b"HTTP/1.1 200 OK\r\nResponse-Seal: s0\r\nContent-Length: 1\r\n\r\nx"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n"
+UNFRAMED = OK + b"\r\nhi"
+
+
+class FakeTransport(asyncio.Transport):
+    """Takes what is written and remembers how it was closed."""
+
+    def __init__(self):
+        super().__init__()
+        self.written = b""
+        self.closed = False
+        self.unsent = 0
+
+    def write(self, data):
+        self.written += data
+
+    def get_write_buffer_size(self):
+        return self.unsent
+
+    def is_closing(self):
+        return self.closed
+
+    def abort(self):
+        self.closed = True
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+
+def sent_connection():
+    connection = EngineConnection()
+    transport = FakeTransport()
+    connection.connection_made(transport)
+    connection.send(b"GET / HTTP/1.1\r\n\r\n", "r1")
+    return connection, transport
+
+
+async def read_all(connection):
+    head = await connection.read_head()
+    body = b""
+    while data := await connection.read_body():
+        body += data
+    return head, body
+
+
+@pytest.mark.parametrize(
+    ("chunks", "reusable"),
+    [
+        ([WHOLE], True),
+        ([bytes([b]) for b in WHOLE], True),
+        ([CHUNKED + b"0\r\n\r\n"], True),
+        ([b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE], True),
+        ([WHOLE + EXTRA], False),
+        ([WHOLE, EXTRA], False),
+        ([EXTRA + WHOLE], False),
+        ([EXTRA[:40], EXTRA[40:] + WHOLE], False),
+        ([WITHOUT_ID + WHOLE], False),
+        ([WHOLE + b"garbage"], False),
+        ([OK + b"Connection: close\r\nContent-Length: 2\r\n\r\nhi"], False),
+        ([CHUNKED + b"0\r\nRequest-Id: r0\r\n\r\n"], True),
+    ],
+)
+async def test_the_answer_with_the_id_of_the_request_is_read_alone(chunks, reusable):
+    connection, _ = sent_connection()
+    for chunk in chunks:
+        connection.data_received(chunk)
+    head, body = await read_all(connection)
+    assert body == b"hi"
+    assert [v for n, v in head.headers if n == "Request-Id"] == ["r1"]
+    assert [v for n, v in head.headers if n == "Response-Seal"] == ["s1"]
+    connection.finish(0.0)
+    assert connection.is_reusable is reusable
+
+
+@pytest.mark.parametrize(
+    ("data", "clean_end", "error", "expected"),
+    [
+        (UNFRAMED, True, None, b"hi"),
+        (UNFRAMED, True, ConnectionResetError(), AnswerLostError),
+        (UNFRAMED, False, ConnectionResetError(), AnswerLostError),
+        (UNFRAMED, False, None, AnswerLostError),
+        (CHUNKED, True, None, AnswerLostError),
+        (WHOLE[:-1], True, None, AnswerLostError),
+        (OK, True, None, AnswerLostError),
+        (b"", True, None, AnswerLostError),
+        (b"", False, TimeoutError("timed out"), PathLostError),
+        (b"\x00\x01 not http\r\n\r\n", True, None, AnswerGarbledError),
+        (OK + b"Content-Length: x\r\n\r\n", True, None, AnswerGarbledError),
+        (EXTRA, True, None, AnswerLostError),
+    ],
+)
+async def test_an_answer_that_ends_early_never_looks_complete(
+    data, clean_end, error, expected
+):
+    connection, _ = sent_connection()
+    if data:
+        connection.data_received(data)
+    if clean_end:
+        connection.eof_received()
+    connection.connection_lost(error)
+    if isinstance(expected, bytes):
+        assert (await read_all(connection))[1] == expected
+        return
+    with pytest.raises(expected):
+        await read_all(connection)
+
+
+async def test_bytes_on_an_idle_connection_end_it():
+    connection, transport = sent_connection()
+    connection.data_received(WHOLE)
+    await read_all(connection)
+    connection.finish(0.0)
+    assert connection.is_reusable
+    connection.data_received(EXTRA)
+    assert not connection.is_reusable
+    assert transport.closed
+
+
+@pytest.mark.parametrize(("received", "unsent"), [(WHOLE[:-1], 0), (WHOLE, 10)])
+async def test_an_unfinished_exchange_resets_the_connection(received, unsent):
+    """The engine stops its work, and what is left of a body can't be misread."""
+    connection, transport = sent_connection()
+    transport.unsent = unsent
+    connection.data_received(received)
+    connection.finish(0.0)
+    assert transport.closed
+    assert not connection.is_reusable
