Read the store at one VM of each failure domain; metrics, trace, and the owner of a group of one

- One gateway of each failure domain watches the store, more while news are old; the others fetch changes from peers, whose digests leave at once on a change.
- Counters and histograms at /metrics, made from the events; plain text instead of the OpenTelemetry SDK, whose import takes a tenth of a second and 5 MB here.
- dotterelpitch trace finds a request's cause in saved lines.
Its first use: a VM in a cut domain tried four engines of the other two domains and refused while its own were free.
A request now takes a domain that showed no sign of life last.
- An error of the gateway's own is logged with its trace and answered 502.
- Known red mended: a member alone in its group passes after a restart only while it hears of no other VM (two owners of a slot before).

--- a/dotterelpitch/cli/__main__.py
+++ b/dotterelpitch/cli/__main__.py
@@ -3,7 +3,13 @@
 from dotterelpitch.cli.check import check
 from dotterelpitch.cli.fleet_commands import drain, events, explain, status
 from dotterelpitch.cli.program import Command, run_commands
-from dotterelpitch.cli.settings import CheckSettings, EventsSettings, OperatorSettings
+from dotterelpitch.cli.settings import (
+    CheckSettings,
+    EventsSettings,
+    OperatorSettings,
+    TraceSettings,
+)
+from dotterelpitch.cli.trace import trace
 
 COMMAND_BY_NAME = {
     "check": Command(
@@ -16,6 +22,12 @@
         explain,
         ("REQUEST-ID",),
     ),
+    "trace": Command(
+        "Show a request's lines in a saved log of gateways.",
+        TraceSettings,
+        trace,
+        ("REQUEST-ID", "FILE"),
+    ),
     "drain": Command("Stop a VM's router in order.", OperatorSettings, drain, ("VM",)),
     "events": Command("Show a process's latest events.", EventsSettings, events),
 }
--- a/dotterelpitch/cli/program.py
+++ b/dotterelpitch/cli/program.py
@@ -60,6 +60,7 @@
         "dotterelpitch-gateway", "dotterelpitch.gateway.settings", "GatewaySettings"
     ),
     SettingsClass("dotterelpitch check", "dotterelpitch.cli.settings", "CheckSettings"),
+    SettingsClass("dotterelpitch trace", "dotterelpitch.cli.settings", "TraceSettings"),
     SettingsClass(
         "dotterelpitch status, explain, drain",
         "dotterelpitch.cli.settings",
--- a/dotterelpitch/cli/settings.py
+++ b/dotterelpitch/cli/settings.py
@@ -13,6 +13,7 @@
 
 DEFAULT_COMMAND_SECONDS = 5.0
 DEFAULT_EVENTS = 50
+DEFAULT_TRACE_SECONDS = 5.0
 
 
 @frozen
@@ -22,6 +23,18 @@
     json: bool = setting("print JSON in place of text", False)
 
 
+@frozen
+class TraceSettings:
+    """What ``trace`` prints."""
+
+    before_seconds: float = setting(
+        "how long before a request its engines' changes are shown",
+        DEFAULT_TRACE_SECONDS,
+        check_positive,
+    )
+    json: bool = setting("print JSON in place of text", False)
+
+
 @frozen
 class OperatorSettings:
     """How the commands reach the fleet."""
--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -11,8 +11,10 @@
 from dotterelpitch.gateway.digests import Digests
 from dotterelpitch.gateway.forwarding import Forwarder
 from dotterelpitch.gateway.ingress import Ingress
+from dotterelpitch.gateway.metrics import GatewayMetrics
 from dotterelpitch.gateway.peer_book import PeerBook
 from dotterelpitch.gateway.peers import Peers
+from dotterelpitch.gateway.reader_choice import ReaderChoice
 from dotterelpitch.gateway.reload import SettingsReload
 from dotterelpitch.gateway.settings import GatewaySettings
 from dotterelpitch.gateway.state import GatewayState
@@ -40,6 +42,7 @@
 IDLE_SECONDS = 90.0
 MAX_LINE_BYTES = 32 * 1024
 BACKLOG = 1024
+METRICS_PATH = "/metrics"
 # One request at a time probes a suspect, so that it can be tried again soon.
 HEALTH_POLICY = HealthPolicy(first_backoff=0.5, max_backoff=4.0, ramp=1.0, max_ramp=8.0)
 
@@ -87,9 +90,11 @@
             self.retries,
             Attempts(self._clock, self.pool),
         )
+        self.metrics = GatewayMetrics(self.state, self.loads, self.health, self.pool)
         self.ingress = Ingress(self._clock, self.state, forwarder)
         self.handlers = HandlerTable()
         self._identity = Identity.create(vm.vm_name, "gateway", settings.cluster_key)
+        self._readers = ReaderChoice(self._clock, vm.vm_name, vm.failure_domain)
         self._book = PeerBook(self._clock, vm.peer_listen, vm.seeds)
         self._peers = self._make_peers()
         self._store: StoreClient | None = None
@@ -98,6 +103,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is open."""
         self._listen_to_signals()
+        self.metrics.start()
         callers = web.Server(
             self.ingress.handle,
             handler_cancellation=True,
@@ -110,11 +116,14 @@
             await _listen(callers, self._vm.caller_listen),
             await _listen(web.Server(self._answer_ready), self._vm.ready_listen),
         ]
+        await self._listen_for_metrics(listeners)
         inner = InnerServer(self._identity, self.handlers)
         await inner.start(self._vm.peer_listen)
         async with aiohttp.ClientSession() as session:
             self._store = StoreClient(self._vm.store_address, session)
-            feed = StoreFeed(self.state, self._store, self._settings.watch_seconds)
+            feed = StoreFeed(
+                self.state, self._store, self._readers, self._settings.watch_seconds
+            )
             tasks = [
                 asyncio.create_task(feed.run()),
                 asyncio.create_task(self._peers.run()),
@@ -142,6 +151,8 @@
             self.loads,
             self.retries,
             self.suspects,
+            self._readers,
+            self._vm.failure_domain,
         )
         peers = Peers(
             self._identity,
@@ -150,6 +161,7 @@
             self.state,
             self._book,
             digests,
+            self._readers,
             self._settings.digest_seconds,
         )
         peers.serve(self.handlers)
@@ -175,6 +187,19 @@
         except TimeoutError:
             log_event(Event.STOP_CUT, requests=self.ingress.work.names())
 
+    async def _listen_for_metrics(self, listeners: list[asyncio.Server]) -> None:
+        """Serve metrics; a taken port costs the metrics and nothing else."""
+        address = f"{self._vm.ip}:{self._settings.metrics_port}"
+        try:
+            listeners.append(await _listen(web.Server(self._answer_metrics), address))
+        except OSError as error:
+            log_event(Event.METRICS_UNSERVED, address=address, reason=str(error))
+
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        if request.path != METRICS_PATH:
+            return web.Response(status=404)
+        return web.Response(text=self.metrics.render())
+
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         is_ready = self.state.config is not None and not self._stop.is_set()
         return web.Response(status=200 if is_ready else 503)
--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.call import Answerer, Call
@@ -69,6 +69,8 @@
     body: bytes = b""
     load: EngineLoad | None = None
     failure: Failure | None = None
+    connect_s: float | None = None
+    longest_pause_s: float | None = None
 
 
 @frozen
@@ -101,6 +103,7 @@
     ) -> AttemptResult:
         """Send ``call`` to the chosen engine; never raises UpstreamError."""
         engine = choice.engine
+        began = self._clock.monotonic()
         try:
             connection = await self._pool.take(
                 engine.id,
@@ -111,13 +114,15 @@
         except NotSentError as error:
             failure = _FAILURE_BY_ERROR.get(type(error))
             return AttemptResult(AttemptEnd.NOT_SENT, str(error), failure=failure)
+        connect_s = self._clock.monotonic() - began
         try:
             connection.send(
                 self._encode(call, choice, events),
                 call.request_id,
                 expects_body=call.method != "HEAD",
             )
-            return await self._answer(connection, call, limits, answerer, events)
+            result = await self._answer(connection, call, limits, answerer, events)
+            return evolve(result, connect_s=connect_s)
         except AnswerLostError as error:
             failure = _FAILURE_BY_ERROR[type(error)]
             return AttemptResult(AttemptEnd.LOST, str(error), failure=failure)
@@ -164,11 +169,19 @@
                 load,
                 Failure.REFUSED if verdict is Verdict.OTHER_ENGINE else None,
             )
+        pause_s = None
         if call.route.kind is CallKind.STREAM and head.status == 200:
-            await self._relay_events(connection, head, limits, answerer, events)
+            pause_s = await self._relay_events(
+                connection, head, limits, answerer, events
+            )
         else:
             await self._relay_whole(connection, head, limits, answerer)
-        return AttemptResult(AttemptEnd.DELIVERED, status=head.status, load=load)
+        return AttemptResult(
+            AttemptEnd.DELIVERED,
+            status=head.status,
+            load=load,
+            longest_pause_s=pause_s,
+        )
 
     async def _read_failure(
         self, connection: EngineConnection, limits: AttemptLimits
@@ -208,9 +221,12 @@
         limits: AttemptLimits,
         answerer: Answerer,
         events: EventSequence,
-    ) -> None:
+    ) -> float:
+        """Pass events on; return the longest pause between two of them."""
         events.restart()
         patience_s = self._left(limits.answer_by)
+        longest_pause_s = 0.0
+        last_at = None
         while True:
             async with asyncio.timeout(patience_s):
                 data = await connection.read_body()
@@ -218,6 +234,10 @@
                 break
             whole = events.feed(data)
             if whole:
+                now = self._clock.monotonic()
+                if last_at is not None:
+                    longest_pause_s = max(longest_pause_s, now - last_at)
+                last_at = now
                 if not answerer.is_started:
                     await answerer.start(head.status, _stream_headers(head))
                 await answerer.write(whole)
@@ -229,6 +249,7 @@
         if not answerer.is_started:
             await answerer.start(head.status, _stream_headers(head))
         await answerer.end()
+        return longest_pause_s
 
     def _left(self, instant: float) -> float:
         return max(0.0, instant - self._clock.monotonic())
--- a/dotterelpitch/gateway/digests.py
+++ b/dotterelpitch/gateway/digests.py
@@ -2,6 +2,7 @@
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.peer_book import PeerBook
+from dotterelpitch.gateway.reader_choice import ReaderChoice
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.platform.config_record import CONFIG_KEY
 from dotterelpitch.platform.store import StoreAnswer, StoreRecord
@@ -9,6 +10,7 @@
     ClearedReport,
     CrashReport,
     EngineCount,
+    FetchRecords,
     GatewayDigest,
     RecordBatch,
     StoredRecord,
@@ -36,8 +38,12 @@
         loads: FleetLoads,
         retries: RetryWindow,
         suspects: CrashSuspects,
+        readers: ReaderChoice,
+        failure_domain: str,
     ) -> None:
         self._vm = vm
+        self._readers = readers
+        self._failure_domain = failure_domain
         self._address = address
         self._clock = clock
         self._state = state
@@ -53,6 +59,7 @@
         config = self._state.config
         return GatewayDigest(
             vm=self._vm,
+            failure_domain=self._failure_domain,
             address=self._address,
             config_version=config.version if config else 0,
             store_revision=self._state.revision,
@@ -74,6 +81,10 @@
     def take(self, digest: GatewayDigest) -> None:
         """Take in a peer's digest."""
         self._book.reached(digest.address)
+        store_age_s = digest.store_age_ms / 1000
+        self._readers.heard(digest.vm, digest.failure_domain, store_age_s)
+        if digest.store_revision == self._state.revision:
+            self._state.confirm(digest.store_revision, store_age_s)
         self._book.heard_of(digest.peers)
         self._loads.heard(digest.vm, {c.engine: c.count for c in digest.counts})
         self._suspects.merge(
@@ -87,29 +98,39 @@
         self._most_vms = max(self._most_vms, self._loads.peers_heard() + 1)
         self._retries.set_vms(self._most_vms)
 
-    def make_batch(self, config_version: int) -> RecordBatch:
-        """Return all records, without the config unless it is newer."""
+    def make_batch(self, request: FetchRecords) -> RecordBatch:
+        """Return what a peer lacks, without the config unless it is newer."""
+        held = self._state.record_by_key
+        keys = self._state.change_log.keys_after(request.store_revision)
+        is_full = keys is None
+        if is_full:
+            keys = list(held)
         config = self._state.config
-        has_newer = config is not None and config.version > config_version
-        records = [
-            StoredRecord(key, value)
-            for key, value in self._state.record_by_key.items()
-            if key != CONFIG_KEY or has_newer
-        ]
-        age_ms = int(min(self._state.age_s, 3600.0) * 1000)
-        return RecordBatch(self._state.revision, age_ms, records)
+        if config is not None and config.version > request.config_version:
+            keys = [*(key for key in keys if key != CONFIG_KEY), CONFIG_KEY]
+        else:
+            keys = [key for key in keys if key != CONFIG_KEY]
+        return RecordBatch(
+            store_revision=self._state.revision,
+            age_ms=int(min(self._state.age_s, 3600.0) * 1000),
+            is_full=is_full,
+            records=[StoredRecord(key, held[key]) for key in keys if key in held],
+            deleted=[key for key in keys if key not in held],
+        )
 
     def take_batch(self, batch: RecordBatch) -> None:
-        """Take in a peer's records; its list counts only when it is newer."""
-        records = tuple(StoreRecord(r.key, r.value) for r in batch.records)
-        if batch.store_revision > self._state.revision:
-            answer = StoreAnswer(records, batch.store_revision)
-            self._state.take_list(
-                answer, may_be_incomplete=False, age_s=batch.age_ms / 1000
-            )
+        """Take in a peer's records; engines count only when they are newer."""
+        records = [StoreRecord(r.key, r.value) for r in batch.records]
+        if batch.store_revision <= self._state.revision:
+            self._state.take_configs(r for r in records if r.key == CONFIG_KEY)
             return
-        configs = tuple(r for r in records if r.key == CONFIG_KEY)
-        self._state.take_configs(configs)
+        records += [StoreRecord(key, None) for key in batch.deleted]
+        answer = StoreAnswer(tuple(records), batch.store_revision)
+        age_s = batch.age_ms / 1000
+        if batch.is_full:
+            self._state.take_list(answer, may_be_incomplete=False, age_s=age_s)
+        else:
+            self._state.take_changes(answer, age_s)
 
     def _is_news(self, at: float) -> bool:
         return self._clock.wall() - at < CRASH_NEWS_SECONDS
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -50,6 +50,7 @@
     events: EventSequence
     tried_ids: list[str] = field(factory=list)
     answered_ids: list[str] = field(factory=list)
+    silent_domains: set[str] = field(factory=set)
     engine_failure: AttemptResult | None = None
     sent: int = 0
     unsent: int = 0
@@ -100,9 +101,7 @@
                 break
             result = await self._attempt(call, choice, progress, answerer)
             if result.end is AttemptEnd.DELIVERED:
-                self._log_end(
-                    call, answerer, "completed", result.status, choice.engine.id
-                )
+                self._log_end(call, answerer, "completed", result, choice.engine.id)
                 return
             if not self._may_try_again(call, progress):
                 break
@@ -112,7 +111,11 @@
         """Return an engine that hasn't had the call, or one that may fail by chance."""
         may_probe = call.route.may_repeat or random.random() < UNSAFE_PROBE_SHARE
         choice = self._chooser.choose(
-            call.service, call.cache_key, progress.tried_ids, may_probe
+            call.service,
+            call.cache_key,
+            progress.tried_ids,
+            progress.silent_domains,
+            may_probe,
         )
         if choice is not None or not progress.answered_ids:
             return choice
@@ -134,6 +137,8 @@
             self._loads.ended(engine_id)
         self._learn(call, choice, result)
         progress.last = result
+        if result.failure is Failure.UNREACHABLE:
+            progress.silent_domains.add(choice.engine.failure_domain)
         if result.end is AttemptEnd.FAILED:
             progress.engine_failure = result
             progress.answered_ids.append(engine_id)
@@ -221,7 +226,7 @@
         self, call: Call, progress: Progress, answerer: Answerer
     ) -> None:
         if answerer.is_started:
-            self._log_end(call, answerer, "broken-off", reason=progress.last.reason)
+            self._log_end(call, answerer, "broken-off", progress.last)
             answerer.abort()
             return
         last = progress.last
@@ -230,9 +235,7 @@
             final = final_answer(last.end, progress.may_have_run)
         failure = progress.engine_failure
         if failure is not None and final is not FinalAnswer.TIMEOUT:
-            self._log_end(
-                call, answerer, "failed", failure.status, reason=failure.reason
-            )
+            self._log_end(call, answerer, "failed", failure)
             await answerer.send_whole(failure.status, failure.headers, failure.body)
             return
         reason = last.reason if last else "no engine is known"
@@ -261,9 +264,8 @@
         call: Call,
         answerer: Answerer,
         outcome: str,
-        status: int = 0,
+        result: AttemptResult,
         engine_id: str = "",
-        reason: str = "",
     ) -> None:
         """Log the outcome; ``first_s`` is the time to the answer's first byte."""
         now = self._clock.monotonic()
@@ -273,9 +275,15 @@
             request=call.request_id,
             route=call.route.name,
             outcome=outcome,
-            status=status,
+            status=result.status,
             engine=engine_id,
-            reason=reason,
-            first_s=first_s and round(first_s, 4),
-            seconds=round(now - call.started, 4),
+            reason=result.reason,
+            connect_s=_rounded(result.connect_s),
+            first_s=_rounded(first_s),
+            longest_pause_s=_rounded(result.longest_pause_s),
+            seconds=_rounded(now - call.started),
         )
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 4)
--- a/dotterelpitch/gateway/ingress.py
+++ b/dotterelpitch/gateway/ingress.py
@@ -1,6 +1,7 @@
 """Takes callers' requests from aiohttp, checks them, and hands them on."""
 
 import asyncio
+import traceback
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 
@@ -27,6 +28,8 @@
 MAX_BUDGET_SECONDS = 300.0
 # A process that has just started learns the config within a few round trips.
 CONFIG_WAIT_SECONDS = 0.4
+# How much of a stack trace a log line holds.
+TRACE_FRAMES = 4
 
 
 class RefusedError(Exception):
@@ -145,8 +148,29 @@
                     Event.CALLER_LEFT, request=headers.request_id, seconds=seconds
                 )
                 raise
+            except Exception as error:
+                await self._report(error, headers.request_id, answerer)
         return answerer.response
 
+    async def _report(
+        self, error: Exception, request_id: str, answerer: AiohttpAnswerer
+    ) -> None:
+        """Log an error of the gateway's own; the request may have run."""
+        trace = traceback.format_exc(limit=-TRACE_FRAMES)
+        log_event(
+            Event.REQUEST_BROKE, request=request_id, error=repr(error), trace=trace
+        )
+        if answerer.is_started:
+            answerer.abort()
+            return
+        await send_problem(
+            answerer,
+            HTTPStatus.BAD_GATEWAY,
+            "unknown",
+            request_id,
+            "the gateway met an error of its own",
+        )
+
     async def _check(
         self, request: web.BaseRequest, headers: CallerHeaders, started: float
     ) -> Call:
--- /dev/null
+++ b/dotterelpitch/gateway/metrics.py
@@ -0,0 +1,168 @@
+"""The gateway's metrics, made from its events and from what it believes.
+
+Events carry what a log line and a counter both need, so the code that decides
+calls one function for both.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.protocol.traffic import traffic_totals
+from dotterelpitch.routing.fleet_loads import FleetLoads
+from dotterelpitch.routing.health import EngineHealth
+from dotterelpitch.telemetry.events import Event, observe_events
+from dotterelpitch.telemetry.text_metrics import (
+    Counter,
+    Gauge,
+    Histogram,
+    LabelValues,
+    render_text,
+)
+from dotterelpitch.upstream.pool import ConnectionPool
+
+Reading = tuple[LabelValues, float]
+Values = dict[str, Any]
+
+_PREFIX = "dotterelpitch_gateway_"
+
+
+class GatewayMetrics:
+    """Counters and histograms of requests, and gauges of beliefs."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        loads: FleetLoads,
+        health: EngineHealth,
+        pool: ConnectionPool,
+    ) -> None:
+        self._state = state
+        self._loads = loads
+        self._health = health
+        self._pool = pool
+        self.events = _counter("events", "Logged events.", "number", "name")
+        self.requests = _counter(
+            "requests", "Answers of engines.", "route", "outcome", "status"
+        )
+        self.refusals = _counter(
+            "refusals", "Answers of the gateway itself.", "status", "outcome"
+        )
+        self.attempts = _counter("attempts", "Attempts.", "route", "reason")
+        self.failed_attempts = _counter(
+            "failed_attempts", "Attempts without a usable answer.", "end"
+        )
+        self.first_byte = _histogram("first_byte_seconds", "Time to the answer.")
+        self.connect = _histogram("connect_seconds", "Time to a connection.")
+        self.longest_pause = _histogram("longest_pause_seconds", "Pause in a stream.")
+        self.duration = _histogram("request_seconds", "Time to the answer's end.")
+        self._observe_by_event: dict[Event, Callable[[Values], None]] = {
+            Event.REQUEST_ENDED: self._request_ended,
+            Event.REQUEST_REFUSED: self._request_refused,
+            Event.ATTEMPT_STARTED: self._attempt_started,
+            Event.ATTEMPT_FAILED: self._attempt_failed,
+        }
+
+    def start(self) -> None:
+        """Count events from now on."""
+        observe_events(self._observe)
+
+    def render(self) -> str:
+        """Return the page of all metrics."""
+        return render_text([*self._families(), *self._gauges()])
+
+    def _families(self) -> list[Counter | Histogram]:
+        return [
+            self.events,
+            self.requests,
+            self.refusals,
+            self.attempts,
+            self.failed_attempts,
+            self.first_byte,
+            self.connect,
+            self.longest_pause,
+            self.duration,
+        ]
+
+    def _gauges(self) -> list[Gauge]:
+        return [
+            _gauge("engines", "Engines by belief.", self._engines, "belief"),
+            _gauge("open_requests", "Requests at an engine.", self._open, "engine"),
+            _gauge("config_version", "Config in force.", self._config_version),
+            _gauge("store_age_seconds", "Age of the engine list.", self._store_age),
+            _gauge("peers_heard", "Peers with a recent digest.", self._peers),
+            _gauge("connections_opened", "To engines.", self._connections),
+            _gauge("peer_bytes", "Inner protocol.", self._bytes, "direction"),
+        ]
+
+    def _observe(self, event: Event, values: Values) -> None:
+        self.events.add(str(event.number), event.name.lower())
+        observe = self._observe_by_event.get(event)
+        if observe is not None:
+            observe(values)
+
+    def _request_ended(self, values: Values) -> None:
+        route = values["route"]
+        self.requests.add(route, values["outcome"], str(values["status"]))
+        self.duration.observe(values["seconds"], route)
+        for name, histogram in (
+            ("first_s", self.first_byte),
+            ("connect_s", self.connect),
+            ("longest_pause_s", self.longest_pause),
+        ):
+            if values[name] is not None:
+                histogram.observe(values[name], route)
+
+    def _request_refused(self, values: Values) -> None:
+        self.refusals.add(str(values["status"]), values["outcome"])
+
+    def _attempt_started(self, values: Values) -> None:
+        self.attempts.add(values["route"], values["reason"])
+
+    def _attempt_failed(self, values: Values) -> None:
+        self.failed_attempts.add(values["end"])
+
+    def _engines(self) -> Iterable[Reading]:
+        count_by_belief: dict[str, int] = {}
+        for engine in self._state.directory.engine_by_id.values():
+            belief = self._health.state(engine.id).value
+            if engine.is_leaving:
+                belief = "leaving"
+            count_by_belief[belief] = count_by_belief.get(belief, 0) + 1
+        return [((belief,), count) for belief, count in count_by_belief.items()]
+
+    def _open(self) -> Iterable[Reading]:
+        return [((engine,), count) for engine, count in self._loads.own().items()]
+
+    def _config_version(self) -> Iterable[Reading]:
+        config = self._state.config
+        return [((), config.version if config else 0)]
+
+    def _store_age(self) -> Iterable[Reading]:
+        return [((), self._state.age_s)]
+
+    def _peers(self) -> Iterable[Reading]:
+        return [((), self._loads.peers_heard())]
+
+    def _connections(self) -> Iterable[Reading]:
+        return [((), self._pool.opened)]
+
+    def _bytes(self) -> Iterable[Reading]:
+        total = traffic_totals.by_kind()
+        sent = sum(total.sent_by_kind.values())
+        received = sum(total.received_by_kind.values())
+        return [(("sent",), sent), (("received",), received)]
+
+
+def _counter(name: str, help: str, *labels: str) -> Counter:
+    return Counter(f"{_PREFIX}{name}_total", help, labels)
+
+
+def _histogram(name: str, help: str) -> Histogram:
+    return Histogram(_PREFIX + name, help, ("route",))
+
+
+def _gauge(
+    name: str, help: str, read: Callable[[], Iterable[Reading]], *labels: str
+) -> Gauge:
+    return Gauge(_PREFIX + name, help, labels, read)
--- a/dotterelpitch/gateway/peers.py
+++ b/dotterelpitch/gateway/peers.py
@@ -1,12 +1,14 @@
 """Follows the other gateways, one task a peer, and lets them follow this one."""
 
 import asyncio
+import contextlib
 import random
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import PeerError, ProtocolError
 from dotterelpitch.gateway.digests import Digests
 from dotterelpitch.gateway.peer_book import PeerBook
+from dotterelpitch.gateway.reader_choice import ReaderChoice
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.protocol.connection import Connection, dial
 from dotterelpitch.protocol.gateway_messages import (
@@ -41,6 +43,7 @@
         state: GatewayState,
         book: PeerBook,
         digests: Digests,
+        readers: ReaderChoice,
         period_s: float,
     ) -> None:
         self._identity = identity
@@ -49,6 +52,7 @@
         self._state = state
         self._book = book
         self._digests = digests
+        self._readers = readers
         self._period_s = period_s
         self._task_by_address: dict[str, asyncio.Task] = {}
         self._behind_since: float | None = None
@@ -123,7 +127,7 @@
         if not is_newer:
             return False
         now = self._clock.monotonic()
-        if config is None:
+        if config is None or not self._readers.reads_store():
             return not self._is_fetching
         if self._behind_since is None or now - self._behind_since > SILENCE_SECONDS:
             self._behind_since = now
@@ -136,7 +140,8 @@
         before = self._state.revision
         self._is_fetching = True
         try:
-            batch = await connection.call(FetchRecords(version), FETCH_SECONDS)
+            request = FetchRecords(version, before)
+            batch = await connection.call(request, FETCH_SECONDS)
         finally:
             self._is_fetching = False
             self._behind_since = None
@@ -152,11 +157,14 @@
     async def _send_digests(self, stream: Stream, first: FollowGateway) -> None:
         self._book.reached(first.address)
         while True:
+            changed = self._state.changed
             await stream.send(self._digests.make())
-            await asyncio.sleep(self._pause_s())
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._pause_s()):
+                    await changed.wait()
 
     async def _send_records(self, stream: Stream, first: FetchRecords) -> None:
-        await stream.send(self._digests.make_batch(first.config_version))
+        await stream.send(self._digests.make_batch(first))
 
     def _pause_s(self) -> float:
         return max(self._period_s, SECONDS_PER_PEER * len(self._task_by_address))
--- a/dotterelpitch/gateway/settings.py
+++ b/dotterelpitch/gateway/settings.py
@@ -22,6 +22,9 @@
     digest_seconds: float = setting(
         "time between two digests to a peer", 0.25, check_positive
     )
+    metrics_port: int = setting(
+        "port on this VM's own address that serves /metrics", 9464, check_positive
+    )
     log_lines_per_second: int = setting(
         "lines logged in a second before those of single requests are left out",
         400,
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -5,6 +5,7 @@
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import PlatformError
+from dotterelpitch.gateway.change_log import ChangeLog
 from dotterelpitch.platform.config_record import CONFIG_KEY, decode_config
 from dotterelpitch.platform.engine_record import ENGINE_PREFIX, decode_engine
 from dotterelpitch.platform.store import StoreAnswer, StoreRecord
@@ -26,6 +27,8 @@
         self.config: RoutingConfig | None = None
         self.has_config = asyncio.Event()
         self.record_by_key: dict[str, bytes] = {}
+        self.change_log = ChangeLog()
+        self.changed = asyncio.Event()
         self.revision = 0
         self.confirmed_at = float("-inf")
 
@@ -53,21 +56,24 @@
         for engine_id in known - {engine.id for engine in engines}:
             action = "kept-for-now" if may_be_incomplete else "removed"
             log_event(Event.ENGINE_MISSING, engine=engine_id, action=action)
-        self._confirm(answer.revision, age_s)
+        self.change_log.restart(answer.revision)
+        self.confirm(answer.revision, age_s)
 
     def take_configs(self, records: Iterable[StoreRecord]) -> None:
         """Take in configs that a peer holds, whatever the rest of its list says."""
         for record in records:
             self._take_config(record)
 
-    def take_changes(self, answer: StoreAnswer) -> None:
-        """Take in the changes of one watch."""
+    def take_changes(self, answer: StoreAnswer, age_s: float = 0.0) -> None:
+        """Take in the changes of one watch, as it was ``age_s`` ago."""
         for record in answer.records:
             if record.key == CONFIG_KEY:
                 self._take_config(record)
             elif record.key.startswith(ENGINE_PREFIX):
                 self._take_engine(record)
-        self._confirm(answer.revision)
+        keys = [record.key for record in answer.records]
+        self.change_log.add(answer.revision, keys)
+        self.confirm(answer.revision, age_s)
 
     def expire(self) -> None:
         """Drop the engines that did not come back after the store did."""
@@ -75,10 +81,17 @@
             self.record_by_key.pop(ENGINE_PREFIX + engine_id, None)
             log_event(Event.ENGINE_MISSING, engine=engine_id, action="removed")
 
-    def _confirm(self, revision: int, age_s: float = 0.0) -> None:
-        self.revision = max(self.revision, revision)
+    def confirm(self, revision: int, age_s: float = 0.0) -> None:
+        """Note that all is known up to ``revision``, as it was ``age_s`` ago."""
         confirmed_at = self.clock.monotonic() - age_s
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        if revision > self.revision:
+            self.revision = revision
+            self._tell_change()
+
+    def _tell_change(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def _take_config(self, record: StoreRecord) -> None:
         if record.value is None:
@@ -96,6 +109,7 @@
         self.config = config
         self.record_by_key[CONFIG_KEY] = record.value
         self.has_config.set()
+        self._tell_change()
         log_event(
             Event.CONFIG_IN_FORCE,
             version=config.version,
--- a/dotterelpitch/gateway/store_feed.py
+++ b/dotterelpitch/gateway/store_feed.py
@@ -4,6 +4,7 @@
 import random
 
 from dotterelpitch.errors import PlatformError
+from dotterelpitch.gateway.reader_choice import ReaderChoice
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.platform.store import HistoryLostError, StoreClient
 from dotterelpitch.telemetry.events import Event, log_event
@@ -12,6 +13,8 @@
 # A store that refuses or is away is asked this often; the calls are paid for.
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 1.0
+# How often a gateway that doesn't read looks whether it should.
+IDLE_SECONDS = 0.2
 # Entries run out after three missed heartbeats of about this length.
 LAPSE_SECONDS = 3.0
 
@@ -19,17 +22,29 @@
 class StoreFeed:
     """Keeps a GatewayState up to date; its one task is ``run``."""
 
-    def __init__(self, state: GatewayState, store: StoreClient, wait_s: float) -> None:
+    def __init__(
+        self,
+        state: GatewayState,
+        store: StoreClient,
+        readers: ReaderChoice,
+        wait_s: float,
+    ) -> None:
         self._state = state
         self._store = store
+        self._readers = readers
+        self._is_reading = False
         self._wait_s = wait_s
-        self._needs_list = True
+        self._needs_list = False
         self._failures = 0
         self.calls = 0
 
     async def run(self) -> None:
         """Read until cancelled; no failure of the store ends it."""
         while True:
+            self._state.expire()
+            if not self._should_read():
+                await asyncio.sleep(IDLE_SECONDS)
+                continue
             try:
                 await self._read_once()
             except HistoryLostError:
@@ -37,12 +52,19 @@
                 log_event(Event.STORE_HISTORY_LOST, revision=self._state.revision)
             except PlatformError as error:
                 await self._note_failure(error)
-            self._state.expire()
+
+    def _should_read(self) -> bool:
+        """Return whether to read now; a first list is read by every process."""
+        reads = not self._state.revision or self._readers.reads_store()
+        if reads != self._is_reading:
+            self._is_reading = reads
+            log_event(Event.STORE_READER, reads=reads, revision=self._state.revision)
+        return reads
 
     async def _read_once(self) -> None:
         away_s = self._state.age_s
         self.calls += 1
-        if self._needs_list:
+        if self._needs_list or not self._state.revision:
             answer = await self._store.read_all(ALL_KEYS)
             may_be_incomplete = away_s > LAPSE_SECONDS and self._state.revision > 0
             self._state.take_list(answer, may_be_incomplete)
--- a/dotterelpitch/platform/vm_settings.py
+++ b/dotterelpitch/platform/vm_settings.py
@@ -41,7 +41,7 @@
     peer_listen: str
     seeds: tuple[str, ...]
     store_address: str
-    metrics_listen: str
+    ip: str
     memory_mb: int
     promises: FleetPromises
 
@@ -63,8 +63,6 @@
 
 def _decode(content: Any) -> VmSettings:
     listen = read_field(content, "listen", dict)
-    ip = read_field(content, "ip", str)
-    ports = read_field(content, "internal_ports", list)
     seeds = read_field(content, "seeds", list, [])
     store = read_field(content, "platform", dict)
     limits = read_field(content, "limits", dict)
@@ -76,7 +74,7 @@
         peer_listen=_read_address(listen, "control"),
         seeds=tuple(_checked_address("seeds", seed) for seed in seeds),
         store_address=_read_address(store, "address"),
-        metrics_listen=_checked_address("internal_ports", f"{ip}:{ports[0]}"),
+        ip=read_field(content, "ip", str),
         memory_mb=int(read_field(limits, "memory_mb", (int, float))),
         promises=_decode_bounds(read_field(content, "bounds", dict)),
     )
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -58,6 +58,7 @@
     """
 
     vm: str
+    failure_domain: str
     address: str
     config_version: int
     store_revision: int
@@ -70,15 +71,22 @@
 
 @message(72)
 class FetchRecords:
-    """Asks for all records, and for the config if it is newer than this."""
+    """Asks for the changes after a revision, and for the config if it is newer."""
 
     config_version: int
+    store_revision: int
 
 
 @message(73)
 class RecordBatch:
-    """All records that the sender holds, as of a revision of the store."""
+    """What the sender knows, as of a revision of the store.
+
+    Either all records (``is_full``) or the changes after the asked revision,
+    with the keys that were deleted.
+    """
 
     store_revision: int
     age_ms: int
+    is_full: bool
     records: list[StoredRecord] = field(factory=list)
+    deleted: list[str] = field(factory=list)
--- a/dotterelpitch/requests/lease.py
+++ b/dotterelpitch/requests/lease.py
@@ -78,6 +78,7 @@
 
     def answer(self, ask: LeaseAsk) -> LeaseReply:
         """Grant or refuse ``ask``, and learn its configs."""
+        self.recollection.asked_by(ask.holder.vm)
         self.history.merge(ask.established, ask.configs)
         refusal = self._refusal(ask)
         bound_to = self.promise()
--- a/dotterelpitch/requests/lease_history.py
+++ b/dotterelpitch/requests/lease_history.py
@@ -72,12 +72,18 @@
     meet every majority, or from all other members. A fleet that starts whole
     passes by the second rule; a majority that lost its memory while a member
     is silent does not, and stays out until the list drops that member.
+
+    A config that has no other member can't be recalled from anybody. It counts
+    as known while no other VM is heard at all: then this VM is the fleet. Where
+    others are heard, a newer config may have been forgotten, and the process
+    stays out until it learns one with members who remember.
     """
 
     def __init__(self, vm: str) -> None:
         self._vm = vm
         self._heard: set[str] = set()
         self._heard_remembering: set[str] = set()
+        self._askers: set[str] = set()
         self.complete = False
 
     def hear(self, vm: str, remembers: bool) -> None:
@@ -86,6 +92,11 @@
         if remembers:
             self._heard_remembering.add(vm)
 
+    def asked_by(self, vm: str) -> None:
+        """Note that ``vm`` has asked for the slot."""
+        if vm != self._vm:
+            self._askers.add(vm)
+
     def check(self, history: ConfigHistory) -> bool:
         """Return whether enough members of every known config were heard."""
         if not self.complete and history.configs:
@@ -94,6 +105,8 @@
 
     def _met(self, config: GroupConfig) -> bool:
         others = set(config.members) - {self._vm}
+        if not others:
+            return not (self._askers or self._heard - {self._vm})
         needed = len(config.members) - config.majority + 1
         if len(others & self._heard_remembering) >= needed:
             return True
--- a/dotterelpitch/routing/engine_choice.py
+++ b/dotterelpitch/routing/engine_choice.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping
 from enum import StrEnum
 
 from attrs import define, field, frozen
@@ -72,20 +72,22 @@
         self,
         service: str,
         cache_key: str,
-        excluded: Sequence[str] = (),
+        excluded: Collection[str] = (),
+        silent_domains: Collection[str] = (),
         may_probe: bool = False,
     ) -> Choice | None:
         """Return the engine for a request, or None when no engine is left.
 
         ``cache_key`` is empty for requests without a prompt. ``excluded`` are
-        the engines that have had the request. With ``may_probe`` it may be the
-        one that finds out whether a suspect engine works again.
+        the engines that have had the request; an engine of ``silent_domains``,
+        where it has met an engine without a sign of life, is taken last. With
+        ``may_probe`` it may find out whether a suspect engine works again.
         """
         usable = self._directory.usable(service)
         engines = [engine for engine in usable if engine.id not in excluded]
         if not engines:
             return None
-        share_by_id = self._shares(engines, may_probe)
+        share_by_id = self._shares(engines, silent_domains, may_probe)
         load_by_id = self._loads.loads(engine.id for engine in engines)
         mean = sum(load_by_id.values()) / len(engines)
         if cache_key:
@@ -145,7 +147,9 @@
             return None
         return usual
 
-    def _shares(self, engines: list[Engine], may_probe: bool) -> dict[str, float]:
+    def _shares(
+        self, engines: list[Engine], silent_domains: Collection[str], may_probe: bool
+    ) -> dict[str, float]:
         """Return the share of usual work by engine.
 
         When no engine may work at all, the error rates alone decide.
@@ -154,8 +158,11 @@
         share_by_id = {
             engine.id: error_share_by_id[engine.id] * self._trust(engine, may_probe)
             for engine in engines
+            if engine.failure_domain not in silent_domains
         }
-        return share_by_id if any(share_by_id.values()) else error_share_by_id
+        if not any(share_by_id.values()):
+            return error_share_by_id
+        return {engine.id: share_by_id.get(engine.id, 0.0) for engine in engines}
 
     def _trust(self, engine: Engine, may_probe: bool) -> float:
         if self._health.state(engine.id) is Health.PROBING:
--- /dev/null
+++ b/dotterelpitch/telemetry/text_metrics.py
@@ -0,0 +1,145 @@
+"""Counters, gauges, and histograms in the Prometheus text format.
+
+For processes whose start and memory the OpenTelemetry SDK would dominate: it
+takes a tenth of a second and several megabytes. The text is the same.
+"""
+
+from bisect import bisect_left
+from collections.abc import Callable, Iterable
+
+from attrs import define, field
+
+SECONDS_BUCKETS = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.6,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+# More label sets than this share one series, so that no label can grow for ever.
+MAX_SERIES = 500
+OTHER = "other"
+
+LabelValues = tuple[str, ...]
+
+
+@define
+class Family:
+    """What all metrics of one name share."""
+
+    name: str
+    help: str
+    label_names: tuple[str, ...]
+
+    def head(self, kind: str) -> list[str]:
+        """Return the two lines that describe the family."""
+        return [f"# HELP {self.name} {self.help}", f"# TYPE {self.name} {kind}"]
+
+    def labels(self, values: Iterable[str], *more: str) -> str:
+        """Return a label part such as ``{route="r1"}``, or nothing."""
+        pairs = [
+            f'{name}="{_escape(value)}"'
+            for name, value in zip(self.label_names, values, strict=True)
+        ]
+        pairs += more
+        return "{" + ",".join(pairs) + "}" if pairs else ""
+
+
+@define
+class Counter(Family):
+    """Values that only grow.
+
+    >>> counter = Counter("requests_total", "Requests.", ("route",))
+    >>> counter.add("r1")
+    >>> counter.render()[-1]
+    'requests_total{route="r1"} 1'
+    """
+
+    _value_by_labels: dict[LabelValues, float] = field(factory=dict)
+
+    def add(self, *labels: str, value: float = 1) -> None:
+        """Add ``value`` to the series of ``labels``."""
+        series = _bounded(self._value_by_labels, labels)
+        self._value_by_labels[series] = self._value_by_labels.get(series, 0) + value
+
+    def render(self) -> list[str]:
+        """Return the lines of all series."""
+        lines = self.head("counter")
+        for labels, value in self._value_by_labels.items():
+            lines.append(f"{self.name}{self.labels(labels)} {value:g}")
+        return lines
+
+
+@define
+class Gauge(Family):
+    """Values that are read when somebody asks for them."""
+
+    _read: Callable[[], Iterable[tuple[LabelValues, float]]]
+
+    def render(self) -> list[str]:
+        """Return the lines of all series."""
+        lines = self.head("gauge")
+        for labels, value in self._read():
+            lines.append(f"{self.name}{self.labels(labels)} {value:g}")
+        return lines
+
+
+@define
+class Histogram(Family):
+    """Durations in seconds, by buckets."""
+
+    _counts_by_labels: dict[LabelValues, list[int]] = field(factory=dict)
+    _sum_by_labels: dict[LabelValues, float] = field(factory=dict)
+
+    def observe(self, seconds: float, *labels: str) -> None:
+        """Count one duration."""
+        series = _bounded(self._counts_by_labels, labels)
+        counts = self._counts_by_labels.get(series)
+        if counts is None:
+            counts = [0] * (len(SECONDS_BUCKETS) + 1)
+            self._counts_by_labels[series] = counts
+        counts[bisect_left(SECONDS_BUCKETS, seconds)] += 1
+        self._sum_by_labels[series] = self._sum_by_labels.get(series, 0.0) + seconds
+
+    def render(self) -> list[str]:
+        """Return the lines of all series."""
+        lines = self.head("histogram")
+        for labels, counts in self._counts_by_labels.items():
+            lines += self._render_series(labels, counts)
+        return lines
+
+    def _render_series(self, labels: LabelValues, counts: list[int]) -> list[str]:
+        lines = []
+        total = 0
+        bounds = [f"{bound:g}" for bound in SECONDS_BUCKETS] + ["+Inf"]
+        for bound, count in zip(bounds, counts, strict=True):
+            total += count
+            part = self.labels(labels, f'le="{bound}"')
+            lines.append(f"{self.name}_bucket{part} {total}")
+        part = self.labels(labels)
+        lines.append(f"{self.name}_sum{part} {self._sum_by_labels[labels]:g}")
+        lines.append(f"{self.name}_count{part} {total}")
+        return lines
+
+
+def render_text(families: Iterable[Counter | Gauge | Histogram]) -> str:
+    """Return the page of all families."""
+    lines = [line for family in families for line in family.render()]
+    return "\n".join(lines) + "\n"
+
+
+def _bounded(series: dict[LabelValues, object], labels: LabelValues) -> LabelValues:
+    if labels in series or len(series) < MAX_SERIES:
+        return labels
+    return (OTHER,) * len(labels)
+
+
+def _escape(value: str) -> str:
+    return str(value).replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
--- a/tests/harness/gateway_world.py
+++ b/tests/harness/gateway_world.py
@@ -65,23 +65,24 @@
         self.process = Process(
             name,
             "dotterelpitch.gateway",
-            {"settings": str(self.settings_path)},
+            {
+                "settings": str(self.settings_path),
+                "metrics_port": self.metrics.rpartition(":")[2],
+            },
             logs_to_stdout=True,
         )
 
     def write_settings(self, store: str, seeds: list[str], **changes) -> None:
         """Write the settings file as the platform does."""
-        ip, _, port = self.metrics.rpartition(":")
         content = {
             "node_name": self._name,
             "zone": "a",
-            "ip": ip,
+            "ip": self.metrics.rpartition(":")[0],
             "listen": {
                 "front": self.callers,
                 "ready": self.ready,
                 "control": self.peers,
             },
-            "internal_ports": [int(port), int(port)],
             "seeds": seeds,
             "limits": {"memory_mb": 300},
             "bounds": {
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -151,6 +151,21 @@
     assert any(fleet.choose(f"x{n}").engine.failure_domain == "b" for n in range(100))
 
 
+def test_a_request_tries_no_domain_twice_that_has_shown_no_sign_of_life():
+    """Pattern: the own failure domain has just been cut off (``zone_cut``)."""
+    fleet = Fleet()
+    for n in range(50):
+        tried, silent = [], set()
+        for _ in range(2):
+            choice = fleet.choose(f"chat-{n}", excluded=tried, silent_domains=silent)
+            tried.append(choice.engine.id)
+            if choice.engine.failure_domain != "a":
+                silent.add(choice.engine.failure_domain)
+        last = fleet.choose(f"chat-{n}", excluded=tried, silent_domains={"b", "c"})
+        assert last.engine.failure_domain == "a"
+        assert len(silent) == len({e for e in tried if DOMAINS[int(e[1]) % 3] != "a"})
+
+
 def test_with_all_engines_suspect_work_goes_on():
     """Pattern: this VM is cut off, or a fault hits all engines at once."""
     fleet = Fleet()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -28,7 +28,9 @@
 async def world(tmp_path):
     world = GatewayWorld(tmp_path)
     yield world
+    broke = [e for g in world.gateways for e in g.process.events(502)]
     await world.stop()
+    assert not broke
 
 
 # What an engine does to one request.
@@ -439,3 +441,29 @@
     await eventually(lambda: gateway.process.events(104), 3.0)
     found = await send_raw(gateway.callers, request_bytes("/safe/1"))
     assert found.startswith(b"HTTP/1.1 200 ")
+
+
+async def test_metrics_count_outcomes_and_show_beliefs(world):
+    gateway = await world.start()
+    world.engines[0].script = world.engines[1].script = [answer, fail]
+    await send_raw(gateway.callers, request_bytes("/unsafe/1"))
+    await send_raw(gateway.callers, request_bytes("/unsafe/1"))
+    await send_raw(gateway.callers, request_bytes("/nowhere/1"))
+    found = await send_raw(
+        gateway.metrics,
+        b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n",
+    )
+    text = found.decode()
+    prefix = "dotterelpitch_gateway_"
+    for line in (
+        'requests_total{route="unsafe",outcome="completed",status="200"} 1',
+        'requests_total{route="unsafe",outcome="failed",status="500"} 1',
+        'refusals_total{status="404",outcome="not-run"} 1',
+        'failed_attempts_total{end="failed"} 1',
+        'first_byte_seconds_count{route="unsafe"} 1',
+        'connect_seconds_bucket{route="unsafe",le="+Inf"} 2',
+        'engines{belief="healthy"} 2',
+        "config_version 1",
+    ):
+        assert prefix + line in text, text
+    assert KEY not in text
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,57 @@
+"""From a request's id to its cause, on saved log lines."""
+
+import json
+
+import pytest
+
+from dotterelpitch.cli.settings import TraceSettings
+from dotterelpitch.cli.trace import read_lines, select, trace
+
+
+def line(at, vm, **values):
+    return f"{at:9.4f} {vm} " + json.dumps(
+        {"at": at, "level": "INFO", "event": 1, "name": "n", **values}
+    )
+
+
+LINES = [
+    line(1.0, "vm1", engine="e1", step="too early"),
+    line(7.0, "vm1", engine="e1", step="engine listed"),
+    line(7.1, "vm2", engine="e1", step="another vm"),
+    line(7.2, "vm1", engine="e9", step="another engine"),
+    line(7.3, "vm1", step="store away"),
+    line(8.0, "vm1", request="r1", engine="e1", cache_source="e2", step="chosen"),
+    "no event at all { or so",
+    line(8.1, "vm1", request="r2", engine="e1", step="another request"),
+    line(8.2, "vm1", engine="e2", step="source gone"),
+    line(8.3, "vm1", request="r1", step="ended"),
+    line(8.4, "vm1", engine="e1", step="later"),
+]
+
+
+def test_a_request_and_what_its_process_learnt_before():
+    found = select(list(read_lines(LINES)), "r1", before_seconds=5.0)
+    assert [one.values["step"] for one in found] == [
+        "engine listed",
+        "store away",
+        "chosen",
+        "source gone",
+        "ended",
+    ]
+
+
+@pytest.mark.parametrize(("request_id", "code"), [("r1", 0), ("r7", 1)])
+def test_the_command_says_whether_it_found_the_request(
+    tmp_path, capsys, request_id, code
+):
+    path = tmp_path / "log"
+    path.write_text("\n".join(LINES))
+    assert trace(TraceSettings(), request_id, str(path)) == code
+    printed = capsys.readouterr()
+    assert ("request=r1" in printed.out) is (code == 0)
+    assert ("r7" in printed.err) is (code == 1)
+
+
+def test_a_missing_file_is_one_line(tmp_path, capsys):
+    assert trace(TraceSettings(), "r1", str(tmp_path / "none")) == 1
+    assert len(capsys.readouterr().err.splitlines()) == 1
