--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -23,6 +23,7 @@
 from dotterelpitch.platform.vm_settings import VmSettings
 from dotterelpitch.protocol.handshake import Identity
 from dotterelpitch.protocol.server import HandlerTable, InnerServer
+from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.crash_suspects import CrashSuspects
 from dotterelpitch.routing.domain_reach import DomainReach
 from dotterelpitch.routing.engine_choice import EngineChooser
@@ -30,6 +31,7 @@
 from dotterelpitch.routing.error_rates import ErrorRates
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.health import EngineHealth, HealthPolicy
+from dotterelpitch.routing.prompt_holders import PromptHolders
 from dotterelpitch.routing.retry_window import RetryWindow
 from dotterelpitch.telemetry.events import Event, log_event
 from dotterelpitch.upstream.pool import SWEEP_SECONDS, ConnectionPool
@@ -70,12 +72,14 @@
         self.suspects = CrashSuspects(self._clock)
         self.deaths = EngineDeaths(self._clock, self.suspects)
         self.pool = ConnectionPool(self._clock)
+        holders = PromptHolders(self._clock)
         chooser = EngineChooser(
             self.state.directory,
             self.loads,
             self.health,
             self.error_rates,
             self.reach,
+            CacheSources(self.state.directory, holders),
         )
         forwarder = Forwarder(
             self._clock,
@@ -85,6 +89,7 @@
             self.health,
             self.error_rates,
             self.reach,
+            holders,
             self.deaths,
             self.suspects,
             self.retries,
--- a/dotterelpitch/gateway/call.py
+++ b/dotterelpitch/gateway/call.py
@@ -47,16 +47,15 @@
         """The name of the client account, or nothing on a public route."""
         return self.account.name if self.account else ""
 
-    @property
-    def cache_key(self) -> str:
-        """The last prompt part that other requests share, if there is a prompt.
+    @cached_property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The prompt parts that other requests share, in order.
 
         The last part of all belongs to the request alone.
         """
-        parts = self.headers.prompt
-        if not (self.route.has_prompt and parts):
-            return ""
-        return parts[-2].id if len(parts) > 1 else parts[-1].id
+        parts = self.headers.prompt if self.route.has_prompt else ()
+        shared = parts[:-1] or parts
+        return tuple(part.id for part in shared)
 
 
 @define
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -23,6 +23,7 @@
 from dotterelpitch.routing.error_rates import ErrorRates
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.health import EngineHealth, Failure, Health
+from dotterelpitch.routing.prompt_holders import PromptHolders
 from dotterelpitch.routing.retry_window import RetryWindow
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.telemetry.events import Event, log_event
@@ -70,6 +71,7 @@
         health: EngineHealth,
         error_rates: ErrorRates,
         reach: DomainReach,
+        holders: PromptHolders,
         deaths: EngineDeaths,
         suspects: CrashSuspects,
         retries: RetryWindow,
@@ -82,6 +84,7 @@
         self._health = health
         self._error_rates = error_rates
         self._reach = reach
+        self._holders = holders
         self._deaths = deaths
         self._suspects = suspects
         self._retries = retries
@@ -112,7 +115,7 @@
         may_probe = call.route.may_repeat or random.random() < UNSAFE_PROBE_SHARE
         choice = self._chooser.choose(
             call.service,
-            call.cache_key,
+            call.shared_parts,
             progress.tried_ids,
             progress.silent_domains,
             may_probe,
@@ -120,7 +123,7 @@
         if choice is not None or not progress.answered_ids:
             return choice
         silent_ids = [i for i in progress.tried_ids if i not in progress.answered_ids]
-        return self._chooser.choose(call.service, call.cache_key, silent_ids)
+        return self._chooser.choose(call.service, call.shared_parts, silent_ids)
 
     async def _attempt(
         self, call: Call, choice: Choice, progress: Progress, answerer: Answerer
@@ -182,6 +185,7 @@
             self._error_rates.note(engine_id, failed=True)
         if result.end is AttemptEnd.DELIVERED:
             self._error_rates.note(engine_id, failed=False)
+            self._holders.note(choice.engine.run, call.shared_parts)
             self._suspects.completed(call.fingerprint)
         failure = result.failure
         domain = choice.engine.failure_domain
--- a/dotterelpitch/gateway/store_feed.py
+++ b/dotterelpitch/gateway/store_feed.py
@@ -13,6 +13,8 @@
 # A store that refuses or is away is asked this often; the calls are paid for.
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 1.0
+# Changes come in bursts; those within this time share one call.
+GATHER_SECONDS = 0.15
 # How often a gateway that doesn't read looks whether it should.
 IDLE_SECONDS = 0.2
 # Entries run out after three missed heartbeats of about this length.
@@ -74,6 +76,8 @@
                 ALL_KEYS, self._state.revision, self._wait_s
             )
             self._state.take_changes(answer)
+            if answer.records:
+                await asyncio.sleep(GATHER_SECONDS)
         if self._failures:
             log_event(Event.PLATFORM_REACHED, failures=self._failures, away_s=away_s)
         self._failures = 0
--- a/dotterelpitch/routing/engine_choice.py
+++ b/dotterelpitch/routing/engine_choice.py
@@ -8,11 +8,12 @@
 """
 
 import random
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 from enum import StrEnum
 
 from attrs import define, field, frozen
 
+from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.domain_reach import DomainReach
 from dotterelpitch.routing.engines import Engine, EngineDirectory
 from dotterelpitch.routing.error_rates import ErrorRates
@@ -23,8 +24,6 @@
 # An engine may hold this multiple of the mean load, and a few requests more.
 LOAD_MULTIPLE = 1.75
 LOAD_SLACK = 3.0
-# An engine that has joined later than this isn't yet the usual one of its chats.
-SETTLED_SECONDS = 8.0
 # A request in another failure domain costs two longer hops: less than one request.
 OTHER_DOMAIN_LOAD = 0.5
 MAX_RANK_TABLES = 32
@@ -45,8 +44,8 @@
 class Choice:
     """An engine, why it was chosen, and what was known when it was.
 
-    ``cache_source`` is an engine that may hold the prompt when the chosen one
-    doesn't.
+    ``cache_source`` is an engine that may hold more of the prompt than the
+    chosen one.
     """
 
     engine: Engine
@@ -65,20 +64,22 @@
     _health: EngineHealth
     _error_rates: ErrorRates
     _reach: DomainReach
+    _sources: CacheSources
     _random: random.Random = field(factory=random.Random)
     _table_by_ids: dict[tuple[str, ...], RankTable] = field(factory=dict)
 
     def choose(
         self,
         service: str,
-        cache_key: str,
+        shared_parts: Sequence[str] = (),
         excluded: Collection[str] = (),
         silent_domains: Collection[str] = (),
         may_probe: bool = False,
     ) -> Choice | None:
         """Return the engine for a request, or None when no engine is left.
 
-        ``cache_key`` is empty for requests without a prompt. ``excluded`` are
+        ``shared_parts`` are the parts of its prompt that other requests have
+        too; there are none for a request without a prompt. ``excluded`` are
         the engines that have had the request; an engine of ``silent_domains``,
         where it has met an engine without a sign of life, is taken last. With
         ``may_probe`` it may find out whether a suspect engine works again.
@@ -90,9 +91,9 @@
         share_by_id = self._shares(engines, silent_domains, may_probe)
         load_by_id = self._loads.loads(engine.id for engine in engines)
         mean = sum(load_by_id.values()) / len(engines)
-        if cache_key:
+        if shared_parts:
             return self._choose_cached(
-                service, engines, cache_key, share_by_id, load_by_id, mean
+                service, engines, shared_parts, share_by_id, load_by_id, mean
             )
         engine = min(
             engines, key=lambda e: self._cost(e, load_by_id[e.id], share_by_id[e.id])
@@ -103,13 +104,13 @@
         self,
         service: str,
         engines: list[Engine],
-        cache_key: str,
+        shared_parts: Sequence[str],
         share_by_id: Mapping[str, float],
         load_by_id: Mapping[str, int],
         mean: float,
     ) -> Choice:
         engine_by_id = {engine.id: engine for engine in engines}
-        ranked = self._ranked(sorted(engine_by_id), cache_key)
+        ranked = self._ranked(sorted(engine_by_id), shared_parts[-1])
         bound = LOAD_MULTIPLE * mean + LOAD_SLACK
         chosen_id = next(
             (i for i in ranked if load_by_id[i] + 1 <= bound * share_by_id[i]), None
@@ -122,30 +123,14 @@
         reason = Reason.BOUND if usual_share >= HEALTHY_SHARE else Reason.SUSPECT
         if chosen_id == ranked[0]:
             reason = Reason.CACHED
-        return Choice(
-            engine_by_id[chosen_id],
-            reason,
-            load_by_id[chosen_id],
-            mean,
-            self._cache_source(service, cache_key, chosen_id),
+        chosen = engine_by_id[chosen_id]
+        source = self._sources.find(
+            service, shared_parts, chosen, self._ranked, self._is_trusted
         )
+        return Choice(chosen, reason, load_by_id[chosen_id], mean, source)
 
-    def _cache_source(
-        self, service: str, cache_key: str, chosen_id: str
-    ) -> Engine | None:
-        """Return the usual engine of a chat, when another one was chosen."""
-        holder_by_id = {
-            engine.id: engine
-            for engine in self._directory.cache_holders(service, SETTLED_SECONDS)
-        }
-        if not holder_by_id:
-            return None
-        usual_id = self._ranked(sorted(holder_by_id), cache_key)[0]
-        usual = holder_by_id[usual_id]
-        # Copying from an engine that doesn't answer delays the first token.
-        if usual_id == chosen_id or self._trust(usual, False) < HEALTHY_SHARE:
-            return None
-        return usual
+    def _is_trusted(self, engine: Engine) -> bool:
+        return self._trust(engine, may_probe=False) >= HEALTHY_SHARE
 
     def _shares(
         self, engines: list[Engine], silent_domains: Collection[str], may_probe: bool
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -35,6 +35,11 @@
     is_leaving: bool = False
     started_ms: int = 0
 
+    @property
+    def run(self) -> str:
+        """What tells this start of the engine from an earlier one."""
+        return f"{self.id}@{self.started_ms}"
+
 
 @define
 class EngineDirectory:
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -7,14 +7,17 @@
 from collections import Counter
 
 import pytest
+from attrs import evolve
 
 from dotterelpitch.clock import ManualClock
+from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.domain_reach import DomainReach
 from dotterelpitch.routing.engine_choice import EngineChooser, Reason
 from dotterelpitch.routing.engines import Engine, EngineDirectory
 from dotterelpitch.routing.error_rates import ErrorRates
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.health import EngineHealth, Failure
+from dotterelpitch.routing.prompt_holders import PromptHolders
 
 SERVICE = "chat"
 DOMAINS = ("a", "b", "c")
@@ -33,12 +36,14 @@
         self.health = EngineHealth(self.clock)
         self.errors = ErrorRates(self.clock)
         self.reach = DomainReach(self.clock, "a")
+        self.holders = PromptHolders(self.clock)
         self.chooser = EngineChooser(
             self.directory,
             self.loads,
             self.health,
             self.errors,
             self.reach,
+            CacheSources(self.directory, self.holders),
             random.Random(7),
         )
         for n in range(engines):
@@ -49,7 +54,7 @@
         self.directory.put(Engine(engine_id, SERVICE, f"127.0.0.1:{id(self)}", domain))
 
     def choose(self, key="", **more):
-        return self.chooser.choose(SERVICE, key, **more)
+        return self.chooser.choose(SERVICE, [key] if key else [], **more)
 
     def usual(self, key):
         return self.choose(key).engine.id
@@ -111,6 +116,32 @@
         assert source == (usual_by_key[key] if moved else None)
 
 
+def test_a_new_chat_copies_the_handbook_that_others_have_read():
+    """Pattern: many chats at all engines begin with few shared parts."""
+    fleet = Fleet()
+    parts = ["handbook", "chat-1"]
+    first = fleet.chooser.choose(SERVICE, parts)
+    assert first.cache_source is None
+    fleet.holders.note(first.engine.run, parts)
+    assert fleet.chooser.choose(SERVICE, parts).cache_source is None
+    for n in range(2, 40):
+        choice = fleet.chooser.choose(SERVICE, ["handbook", f"chat-{n}"])
+        is_elsewhere = choice.engine.id != first.engine.id
+        source = choice.cache_source.id if choice.cache_source else None
+        assert source == (first.engine.id if is_elsewhere else None)
+
+
+def test_a_restarted_engine_holds_nothing():
+    """Pattern: an engine starts again under its id (``reborn``)."""
+    fleet = Fleet()
+    parts = ["handbook", "chat-1"]
+    first = fleet.chooser.choose(SERVICE, parts).engine
+    fleet.holders.note(first.run, parts)
+    fleet.directory.put(evolve(first, started_ms=5))
+    choices = [fleet.chooser.choose(SERVICE, ["handbook", f"c{n}"]) for n in range(30)]
+    assert not any(c.cache_source for c in choices if c.engine.id != first.id)
+
+
 def test_a_suspect_is_no_source_of_a_copy():
     """Pattern: an engine crashes; copying from it would delay the first token."""
     fleet = Fleet()
--- /dev/null
+++ b/tests/test_engine_deaths.py
@@ -0,0 +1,60 @@
+"""Requests that crash engines, told from answers that were merely lost."""
+
+import pytest
+
+from dotterelpitch.clock import ManualClock
+from dotterelpitch.routing.crash_suspects import CrashSuspects, Verdict
+from dotterelpitch.routing.engine_deaths import BREAK_SECONDS, EngineDeaths
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(100.0)
+
+
+@pytest.fixture
+def suspects(clock):
+    return CrashSuspects(clock)
+
+
+@pytest.fixture
+def deaths(clock, suspects):
+    return EngineDeaths(clock, suspects)
+
+
+def test_a_request_that_kills_two_engines_is_banned(deaths, suspects):
+    for engine in ("e1", "e2"):
+        deaths.answer_broke(engine, "bad")
+        deaths.answer_broke(engine, f"neighbour at {engine}")
+        assert deaths.unreachable(engine, "run1")
+    assert suspects.verdict("bad") is Verdict.BANNED
+    assert suspects.verdict("neighbour at e1") is Verdict.ALONE
+
+
+def test_lost_answers_of_living_engines_are_no_crashes(deaths, suspects):
+    for engine in ("e1", "e2", "e3"):
+        deaths.answer_broke(engine, "unlucky")
+    assert suspects.verdict("unlucky") is Verdict.FREE
+
+
+def test_a_break_long_before_a_death_is_no_cause(deaths, suspects, clock):
+    deaths.answer_broke("e1", "unlucky")
+    clock.advance(BREAK_SECONDS + 0.1)
+    assert deaths.unreachable("e1", "run1") == []
+    assert suspects.verdict("unlucky") is Verdict.FREE
+
+
+def test_one_death_counts_once_however_often_it_is_seen(deaths, suspects):
+    deaths.answer_broke("e1", "bad")
+    deaths.unreachable("e1", "run1")
+    deaths.unreachable("e1", "run1")
+    assert suspects.verdict("bad") is Verdict.ALONE
+
+
+def test_another_vm_learns_of_a_ban(deaths, suspects, clock):
+    other = CrashSuspects(clock)
+    for engine in ("e1", "e2"):
+        deaths.answer_broke(engine, "bad")
+        deaths.unreachable(engine, "run1")
+    other.merge(*suspects.digest())
+    assert other.verdict("bad") is Verdict.BANNED
