Refuse what has no time left at once; suspect requests of crashes with more care

Found by reading: a request whose deadline had passed was sent all the same (a test fails first). A cut that resets connections made each request in flight a suspect at each engine of the domain, and two crashes banned it fleet-wide; now only the first of several engines of a domain counts, only refused connections do, and three crashes ban.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -45,6 +45,9 @@
 MAX_LINE_BYTES = 32 * 1024
 BACKLOG = 1024
 METRICS_PATH = "/metrics"
+# One request crashes this many engines before it is refused; a resumed stream and
+# a caller's own repeat meet two by chance.
+MAX_CRASHES = 3
 # One request at a time probes a suspect, so that it can be tried again soon.
 HEALTH_POLICY = HealthPolicy(first_backoff=0.5, max_backoff=4.0, ramp=1.0, max_ramp=8.0)
 
@@ -70,7 +73,7 @@
             promises.retry_slack,
             promises.retry_window_s,
         )
-        self.suspects = CrashSuspects(self._clock)
+        self.suspects = CrashSuspects(self._clock, MAX_CRASHES)
         self.deaths = EngineDeaths(self._clock, self.suspects)
         self.pool = ConnectionPool(self._clock)
         holders = PromptHolders(self._clock)
@@ -184,11 +187,12 @@
         )
         self.ingress.is_stopping = True
         grace_s = self._vm.promises.stop_grace_s - STOP_MARGIN_SECONDS
-        await asyncio.sleep(min(LINGER_SECONDS, grace_s))
+        linger_s = min(LINGER_SECONDS, grace_s / 2)
+        await asyncio.sleep(linger_s)
         listeners[0].close()
         self.ingress.close_connections(callers.connections)
         try:
-            async with asyncio.timeout(grace_s - LINGER_SECONDS):
+            async with asyncio.timeout(grace_s - linger_s):
                 await self.ingress.work.wait_idle()
         except TimeoutError:
             log_event(Event.STOP_CUT, requests=self.ingress.work.names())
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -93,11 +93,17 @@
 
     async def forward(self, call: Call, answerer: Answerer) -> None:
         """Give the caller the answer of an engine, or say why there is none."""
+        left_s = call.deadline - self._clock.monotonic()
+        if left_s < LEAST_ATTEMPT_SECONDS:
+            reason = "its deadline is too near"
+            await refuse(answerer, FinalAnswer.REFUSAL, call.request_id, reason, left_s)
+            return
         self._retries.request_started(call.service)
         progress = Progress(EventSequence(call.headers.last_event_id))
         if self._suspects.verdict(call.fingerprint) is Verdict.BANNED:
             log_event(Event.REQUEST_BANNED, request=call.request_id)
-            await self._give_up(call, progress, answerer)
+            reason = "requests with this content have crashed engines"
+            await refuse(answerer, FinalAnswer.REFUSAL, call.request_id, reason, left_s)
             return
         while True:
             choice = self._choose(call, progress)
@@ -199,9 +205,9 @@
             self._reach.unreachable(domain, engine_id)
         if failure is Failure.BROKEN_ANSWER:
             self._deaths.answer_broke(engine_id, call.fingerprint)
-        elif result.end is AttemptEnd.NOT_SENT:
+        elif result.end is AttemptEnd.NOT_SENT and failure is Failure.REFUSED:
             run = str(choice.engine.started_ms)
-            crashes = self._deaths.unreachable(engine_id, run)
+            crashes = self._deaths.refused(engine_id, run, domain)
             if crashes:
                 log_event(Event.ENGINE_DIED, engine=engine_id, suspects=len(crashes))
         if self._health.state(engine_id) is Health.SUSPECT:
--- a/dotterelpitch/routing/crash_suspects.py
+++ b/dotterelpitch/routing/crash_suspects.py
@@ -83,8 +83,9 @@
     <Verdict.BANNED: 'banned'>
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, max_crashes: int = MAX_CRASHES) -> None:
         self._clock = clock
+        self._max_crashes = max_crashes
         self._suspect_by_fingerprint: OrderedDict[str, _Suspect] = OrderedDict()
 
     def verdict(self, fingerprint: str) -> Verdict:
@@ -93,7 +94,9 @@
         if suspect is None:
             return Verdict.FREE
         crashes = suspect.crashes(self._clock.wall() - SUSPICION_SECONDS)
-        return _VERDICT_BY_CRASHES[min(crashes, MAX_CRASHES)]
+        if crashes >= self._max_crashes:
+            return Verdict.BANNED
+        return Verdict.ALONE if crashes else Verdict.FREE
 
     def engine_died(
         self, engine: str, engine_run: str, fingerprints: Iterable[str]
@@ -141,6 +144,3 @@
     def _forget_old(self) -> None:
         while len(self._suspect_by_fingerprint) > MAX_SUSPECTS:
             self._suspect_by_fingerprint.popitem(last=False)
-
-
-_VERDICT_BY_CRASHES = {0: Verdict.FREE, 1: Verdict.ALONE, MAX_CRASHES: Verdict.BANNED}
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -304,6 +304,16 @@
     assert len(world.exchanges()) == (status == 200)
 
 
+@pytest.mark.parametrize("budget", ["0", "-5", "10"])
+async def test_a_request_without_time_is_refused_and_never_sent(world, budget):
+    gateway = await world.start()
+    data = request_bytes("/unsafe/1", headers=(f"Deadline-Ms: {budget}",))
+    found = await send_raw(gateway.callers, data)
+    assert found.startswith(b"HTTP/1.1 503 ")
+    assert b'"not-run"' in found
+    assert not world.exchanges()
+
+
 @pytest.mark.parametrize("route", ["unsafe", "safe", "stream"])
 async def test_a_caller_that_leaves_stops_the_engine(world, route):
     gateway = await world.start()
