Choose owners of engines and plain endpoints by one rule; break a circle of imports

FleetView.owner_of and admission_owner differed when all VMs of a pool are leaving: the first kept an owner, the second had none, so chats were refused at the end of a stop of the whole fleet. Now one rule serves both, and a leaving VM owns while no other is left (the new case of the test fails first).

router/app.py and router/operator_api.py imported each other; the reporter now gets the parts that it reads.

--- a/dotterelpitch/membership/model.py
+++ b/dotterelpitch/membership/model.py
@@ -57,6 +57,10 @@
             and failure_domain in (None, vm.failure_domain)
         ]
 
+    def entries(self) -> list[Vm]:
+        """Return all entry VMs, those that are leaving too."""
+        return [vm for vm in self.vms if vm.role is VmRole.ENTRY]
+
     def leaving_endpoints(self) -> set[str]:
         """Return the names of the endpoint VMs that are leaving."""
         return {
--- a/dotterelpitch/router/app.py
+++ b/dotterelpitch/router/app.py
@@ -24,7 +24,7 @@
 from dotterelpitch.router.gossip_carrier import GossipCarrier
 from dotterelpitch.router.http_api import HttpApi
 from dotterelpitch.router.keyed_routing import KeyedRouting
-from dotterelpitch.router.operator_api import operated_application
+from dotterelpitch.router.operator_api import OperatedRouter, operated_application
 from dotterelpitch.router.plain_entry import PlainEntry
 from dotterelpitch.router.plain_owner import PlainOwner
 from dotterelpitch.router.planned_stop import PlannedStop
@@ -132,8 +132,15 @@
         )
 
     async def _start_http(self, api: HttpApi) -> web.AppRunner:
+        operated = OperatedRouter(
+            self.settings.vm_name,
+            self.state,
+            self.hub,
+            self.handlers,
+            self.request_stop,
+        )
         runner = web.AppRunner(
-            operated_application(self, api),
+            operated_application(operated, api),
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=CLOSE_SECONDS,
--- a/dotterelpitch/router/operator_api.py
+++ b/dotterelpitch/router/operator_api.py
@@ -1,17 +1,19 @@
 """The router's side for operators: commands, ``/metrics``, and readings."""
 
 from collections.abc import Awaitable, Callable, Iterable
-from typing import TYPE_CHECKING
 
 from aiohttp import web
+from attrs import frozen
 
 from dotterelpitch.protocol.operator_messages import (
     DocumentStatus,
     EngineStatus,
     StatusReport,
 )
+from dotterelpitch.protocol.server import HandlerTable
 from dotterelpitch.router.http_api import HttpApi
 from dotterelpitch.router.problems import final_outcome
+from dotterelpitch.router.routing_hub import RoutingHub
 from dotterelpitch.router.state import FleetState
 from dotterelpitch.telemetry.metrics import METRICS_CONTENT_TYPE, get_metrics
 from dotterelpitch.telemetry.operator_api import (
@@ -20,20 +22,27 @@
     resident_memory,
 )
 
-if TYPE_CHECKING:
-    from dotterelpitch.router.app import Router
-
 CHAT_SERVICE = "chat"
 
+
+@frozen
+class OperatedRouter:
+    """What operators see of a router, and how they stop it."""
+
+    vm_name: str
+    state: FleetState
+    hub: RoutingHub
+    handlers: HandlerTable
+    request_stop: Callable[[], None]
+
+
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-def operated_application(router: "Router", api: HttpApi) -> web.Application:
+def operated_application(router: OperatedRouter, api: HttpApi) -> web.Application:
     """Return the application of ``api`` with ``/metrics``, and serve commands."""
     reporter = RouterReporter(router, api)
-    operators = OperatorApi(
-        router.settings.vm_name, reporter.report, router.request_stop
-    )
+    operators = OperatorApi(router.vm_name, reporter.report, router.request_stop)
     operators.register(router.handlers)
     metrics = get_metrics()
     metrics.watch_engine_loads(reporter.engine_loads)
@@ -48,7 +57,7 @@
 class RouterReporter:
     """Reads the state of one router for commands and metrics."""
 
-    def __init__(self, router: "Router", api: HttpApi) -> None:
+    def __init__(self, router: OperatedRouter, api: HttpApi) -> None:
         self._router = router
         self._api = api
 
@@ -56,7 +65,7 @@
         """Return what ``dotterelpitch status`` shows."""
         view = self._router.state.view
         return StatusReport(
-            vm=self._router.settings.vm_name,
+            vm=self._router.vm_name,
             role="router",
             state=self._state(),
             uptime_seconds=process_uptime(),
@@ -99,7 +108,7 @@
                 yield EngineStatus(
                     name,
                     load.engine,
-                    self._router.settings.vm_name,
+                    self._router.vm_name,
                     round(load.load, 1),
                     load.running,
                     load.queued,
--- a/dotterelpitch/router/state.py
+++ b/dotterelpitch/router/state.py
@@ -11,7 +11,6 @@
 from dotterelpitch.documents.model import Endpoint, ServiceDocument
 from dotterelpitch.documents.registry import DocumentRegistry
 from dotterelpitch.errors import PeerError, ProtocolError
-from dotterelpitch.hashing import best
 from dotterelpitch.membership.gossip import GossipDigest
 from dotterelpitch.membership.model import Vm, VmList, VmState
 from dotterelpitch.membership.vm_list_registry import VmListRegistry
@@ -29,6 +28,7 @@
 from dotterelpitch.protocol.revision_server import RevisionServer
 from dotterelpitch.protocol.server import HandlerTable
 from dotterelpitch.protocol.stream import Stream
+from dotterelpitch.routing.ownership import admission_owner
 
 AGENT_SOURCE = "agent"
 RECONNECT_SECONDS = 0.3
@@ -75,27 +75,14 @@
         leaving = self.vm_list.leaving_endpoints()
         return [e for e in document.endpoints if e.vm_name not in leaving]
 
-    def usable_entries(self, failure_domain: str | None = None) -> list[Vm]:
-        """Return the entry VMs to give work to, of one failure domain or of all.
-
-        Those that leave or are suspected are passed over, unless no other is
-        left.
-        """
-        live = self.vm_list.live_entries(failure_domain)
-        staying = [vm for vm in live if vm.name not in self.leaving]
-        reachable = [vm for vm in staying if vm.name not in self.suspected]
-        return reachable or staying or live
-
     def owner_of(self, endpoint: Endpoint) -> Vm | None:
-        """Return the VM that admits work to ``endpoint``.
-
-        It is in the endpoint's failure domain while that has a live VM, and
-        anywhere else when it has none.
-        """
-        vms = self.usable_entries(endpoint.failure_domain)
-        vms = vms or self.usable_entries()
-        name = best(f"owner:{endpoint.name}", (vm.name for vm in vms))
-        return self.vm_by_name.get(name) if name else None
+        """Return the VM that admits work to ``endpoint``."""
+        return admission_owner(
+            endpoint.name,
+            endpoint.failure_domain,
+            self.working_vm_list,
+            self.suspected,
+        )
 
 
 class FleetState:
--- a/dotterelpitch/routing/ownership.py
+++ b/dotterelpitch/routing/ownership.py
@@ -1,7 +1,8 @@
-"""Which VM counts the load of an engine, and which of two claims holds.
+"""Which VM admits work to an endpoint, and which of two claims holds.
 
-Each engine has one admission owner: a live entry VM, found by rendezvous over
-the published list, in the engine's failure domain when that has any. Two VMs
+Each endpoint has one admission owner: a live entry VM, found by rendezvous over
+the published list, in the endpoint's failure domain when that has any. While all
+entry VMs are leaving, one of them goes on as the owner. Two VMs
 that read different lists may both believe that they own an engine. The claim
 from the higher list revision holds, and the other owner steps down: it admits
 nothing more, and goes on reporting what it still has in flight.
@@ -16,17 +17,18 @@
 
 
 def admission_owner(
-    engine: str, failure_domain: str, vm_list: VmList, unreachable: frozenset[str]
+    endpoint: str, failure_domain: str, vm_list: VmList, unreachable: frozenset[str]
 ) -> Vm | None:
-    """Return the owner of ``engine`` in ``vm_list``, or None without entry VMs.
+    """Return the owner of ``endpoint`` in ``vm_list``, or None without entry VMs.
 
     VMs in ``unreachable`` are passed over while another one is left.
     """
-    for pool in (vm_list.live_entries(failure_domain), vm_list.live_entries()):
+    live = vm_list.live_entries()
+    for pool in (vm_list.live_entries(failure_domain), live, vm_list.entries()):
         reachable = [vm for vm in pool if vm.name not in unreachable]
         if reachable or pool:
             by_name = {vm.name: vm for vm in reachable or pool}
-            return by_name[hashing.best(engine, by_name)]
+            return by_name[hashing.best(endpoint, by_name)]
     return None
 
 
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -149,6 +149,7 @@
         (["fd-a1", "fd-a2", "fd-b1"], [], ["fd-a2"], {"fd-a1"}),
         (["fd-a1", "fd-b1"], ["fd-a1"], [], {"fd-b1"}),
         (["fd-a1"], [], ["fd-a1"], {"fd-a1"}),
+        (["fd-a1", "fd-b1"], ["fd-a1", "fd-b1"], [], {"fd-a1", "fd-b1"}),
         ([], [], [], {None}),
     ],
 )
