Split beliefs about engines and the aiohttp answerer; log what libraries say as events

The refusal is now sent where a lost caller is expected, and what libraries log becomes an event; a test sends resets and asks that every line be an event (fails first).

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -9,6 +9,7 @@
 from dotterelpitch.clock import SteadyClock
 from dotterelpitch.gateway.attempt import Attempts
 from dotterelpitch.gateway.digests import Digests
+from dotterelpitch.gateway.engine_beliefs import EngineBeliefs
 from dotterelpitch.gateway.forwarding import Forwarder
 from dotterelpitch.gateway.ingress import Ingress
 from dotterelpitch.gateway.metrics import GatewayMetrics
@@ -24,14 +25,8 @@
 from dotterelpitch.protocol.handshake import Identity
 from dotterelpitch.protocol.server import HandlerTable, InnerServer
 from dotterelpitch.routing.cache_sources import CacheSources
-from dotterelpitch.routing.crash_suspects import CrashSuspects
-from dotterelpitch.routing.domain_reach import DomainReach
 from dotterelpitch.routing.engine_choice import EngineChooser
-from dotterelpitch.routing.engine_deaths import EngineDeaths
-from dotterelpitch.routing.error_rates import ErrorRates
 from dotterelpitch.routing.fleet_loads import FleetLoads
-from dotterelpitch.routing.health import EngineHealth, HealthPolicy
-from dotterelpitch.routing.prompt_holders import PromptHolders
 from dotterelpitch.routing.retry_window import RetryWindow
 from dotterelpitch.telemetry.events import Event, log_event
 from dotterelpitch.upstream.pool import SWEEP_SECONDS, ConnectionPool
@@ -45,11 +40,6 @@
 MAX_LINE_BYTES = 32 * 1024
 BACKLOG = 1024
 METRICS_PATH = "/metrics"
-# One request crashes this many engines before it is refused; a resumed stream and
-# a caller's own repeat meet two by chance.
-MAX_CRASHES = 3
-# One request at a time probes a suspect, so that it can be tried again soon.
-HEALTH_POLICY = HealthPolicy(first_backoff=0.5, max_backoff=4.0, ramp=1.0, max_ramp=8.0)
 
 
 class Gateway:
@@ -63,9 +53,7 @@
         self.state = GatewayState(self._clock)
         self.state.directory.drain_s = vm.promises.drain_s
         self.loads = FleetLoads(self._clock)
-        self.health = EngineHealth(self._clock, HEALTH_POLICY)
-        self.reach = DomainReach(self._clock, vm.failure_domain)
-        self.error_rates = ErrorRates(self._clock)
+        self.beliefs = EngineBeliefs(self._clock, vm.failure_domain)
         promises = vm.promises
         self.retries = RetryWindow(
             self._clock,
@@ -73,33 +61,26 @@
             promises.retry_slack,
             promises.retry_window_s,
         )
-        self.suspects = CrashSuspects(self._clock, MAX_CRASHES)
-        self.deaths = EngineDeaths(self._clock, self.suspects)
         self.pool = ConnectionPool(self._clock)
-        holders = PromptHolders(self._clock)
+        beliefs = self.beliefs
         chooser = EngineChooser(
             self.state.directory,
             self.loads,
-            self.health,
-            self.error_rates,
-            self.reach,
-            CacheSources(self.state.directory, holders),
+            beliefs.health,
+            beliefs.error_rates,
+            beliefs.reach,
+            CacheSources(self.state.directory, beliefs.holders),
         )
         forwarder = Forwarder(
             self._clock,
             self.state,
             chooser,
             self.loads,
-            self.health,
-            self.error_rates,
-            self.reach,
-            holders,
-            self.deaths,
-            self.suspects,
+            beliefs,
             self.retries,
             Attempts(self._clock, self.pool),
         )
-        self.metrics = GatewayMetrics(self.state, self.loads, self.health, self.pool)
+        self.metrics = GatewayMetrics(self.state, self.loads, beliefs.health, self.pool)
         self.ingress = Ingress(self._clock, self.state, forwarder)
         self.handlers = HandlerTable()
         self._identity = Identity.create(vm.vm_name, "gateway", settings.cluster_key)
@@ -159,7 +140,7 @@
             self._book,
             self.loads,
             self.retries,
-            self.suspects,
+            self.beliefs.suspects,
             self._readers,
             self._vm.failure_domain,
         )
@@ -219,10 +200,7 @@
             await asyncio.sleep(SWEEP_SECONDS)
             self.pool.sweep()
             self._reload.check()
-            known_ids = self.state.directory.remembered_ids()
-            self.health.retain(known_ids)
-            self.error_rates.retain(known_ids)
-            self.deaths.forget_old()
+            self.beliefs.retain(self.state.directory.remembered_ids())
 
     def _listen_to_signals(self) -> None:
         loop = asyncio.get_running_loop()
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -7,6 +7,7 @@
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.attempt import AttemptLimits, AttemptResult, Attempts
 from dotterelpitch.gateway.call import Answerer, Call
+from dotterelpitch.gateway.engine_beliefs import EngineBeliefs
 from dotterelpitch.gateway.event_sequence import EventSequence
 from dotterelpitch.gateway.refusals import refuse
 from dotterelpitch.gateway.state import GatewayState
@@ -16,14 +17,9 @@
     FinalAnswer,
     final_answer,
 )
-from dotterelpitch.routing.crash_suspects import CrashSuspects, Verdict
-from dotterelpitch.routing.domain_reach import DomainReach
 from dotterelpitch.routing.engine_choice import Choice, EngineChooser
-from dotterelpitch.routing.engine_deaths import EngineDeaths
-from dotterelpitch.routing.error_rates import ErrorRates
 from dotterelpitch.routing.fleet_loads import FleetLoads
-from dotterelpitch.routing.health import EngineHealth, Failure, Health
-from dotterelpitch.routing.prompt_holders import PromptHolders
+from dotterelpitch.routing.health import Failure
 from dotterelpitch.routing.retry_window import RetryWindow
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.telemetry.events import Event, log_event
@@ -41,9 +37,6 @@
 # Of the requests that can't be repeated, so many may try a suspect engine again.
 UNSAFE_PROBE_SHARE = 0.1
 
-# Ends that count against an engine when its error rate is estimated.
-_FAILED_ENDS = {AttemptEnd.FAILED, AttemptEnd.LOST, AttemptEnd.TIMED_OUT}
-
 
 @define
 class Progress:
@@ -69,12 +62,7 @@
         state: GatewayState,
         chooser: EngineChooser,
         loads: FleetLoads,
-        health: EngineHealth,
-        error_rates: ErrorRates,
-        reach: DomainReach,
-        holders: PromptHolders,
-        deaths: EngineDeaths,
-        suspects: CrashSuspects,
+        beliefs: EngineBeliefs,
         retries: RetryWindow,
         attempts: Attempts,
     ) -> None:
@@ -82,29 +70,19 @@
         self._state = state
         self._chooser = chooser
         self._loads = loads
-        self._health = health
-        self._error_rates = error_rates
-        self._reach = reach
-        self._holders = holders
-        self._deaths = deaths
-        self._suspects = suspects
+        self._beliefs = beliefs
         self._retries = retries
         self._attempts = attempts
 
     async def forward(self, call: Call, answerer: Answerer) -> None:
         """Give the caller the answer of an engine, or say why there is none."""
-        left_s = call.deadline - self._clock.monotonic()
-        if left_s < LEAST_ATTEMPT_SECONDS:
-            reason = "its deadline is too near"
-            await refuse(answerer, FinalAnswer.REFUSAL, call.request_id, reason, left_s)
+        if reason := self._reason_to_refuse(call):
+            left_s = call.deadline - self._clock.monotonic()
+            final = FinalAnswer.REFUSAL
+            await refuse(answerer, final, call.request_id, reason, left_s)
             return
         self._retries.request_started(call.service)
         progress = Progress(EventSequence(call.headers.last_event_id))
-        if self._suspects.verdict(call.fingerprint) is Verdict.BANNED:
-            log_event(Event.REQUEST_BANNED, request=call.request_id)
-            reason = "requests with this content have crashed engines"
-            await refuse(answerer, FinalAnswer.REFUSAL, call.request_id, reason, left_s)
-            return
         while True:
             choice = self._choose(call, progress)
             if choice is None:
@@ -117,6 +95,15 @@
                 break
         await self._give_up(call, progress, answerer)
 
+    def _reason_to_refuse(self, call: Call) -> str:
+        """Return why a call isn't sent at all, or nothing."""
+        if call.deadline - self._clock.monotonic() < LEAST_ATTEMPT_SECONDS:
+            return "its deadline is too near"
+        if self._beliefs.is_banned(call):
+            log_event(Event.REQUEST_BANNED, request=call.request_id)
+            return "requests with this content have crashed engines"
+        return ""
+
     def _choose(self, call: Call, progress: Progress) -> Choice | None:
         """Return an engine that hasn't had the call, or one that may fail by chance."""
         may_probe = call.route.may_repeat or random.random() < UNSAFE_PROBE_SHARE
@@ -145,7 +132,7 @@
             )
         finally:
             self._loads.ended(engine_id)
-        self._learn(call, choice, result)
+        self._beliefs.learn(call, choice, result)
         progress.last = result
         if result.failure is Failure.UNREACHABLE:
             progress.silent_domains.add(choice.engine.failure_domain)
@@ -185,34 +172,6 @@
             call.deadline, answer_by, max(MIN_CONNECTIONS, int(share)), may_repeat
         )
 
-    def _learn(self, call: Call, choice: Choice, result: AttemptResult) -> None:
-        """Change what is believed of an engine by how an attempt ended."""
-        engine_id = choice.engine.id
-        if result.end in _FAILED_ENDS:
-            self._error_rates.note(engine_id, failed=True)
-        if result.end is AttemptEnd.DELIVERED:
-            self._error_rates.note(engine_id, failed=False)
-            self._holders.note(choice.engine.run, call.shared_parts)
-            self._suspects.completed(call.fingerprint)
-        failure = result.failure
-        domain = choice.engine.failure_domain
-        if failure is None:
-            self._health.succeeded(engine_id)
-            self._reach.answered(domain)
-            return
-        self._health.failed(engine_id, failure)
-        if failure is Failure.UNREACHABLE:
-            self._reach.unreachable(domain, engine_id)
-        if failure is Failure.BROKEN_ANSWER:
-            self._deaths.answer_broke(engine_id, call.fingerprint)
-        elif result.end is AttemptEnd.NOT_SENT and failure is Failure.REFUSED:
-            run = str(choice.engine.started_ms)
-            crashes = self._deaths.refused(engine_id, run, domain)
-            if crashes:
-                log_event(Event.ENGINE_DIED, engine=engine_id, suspects=len(crashes))
-        if self._health.state(engine_id) is Health.SUSPECT:
-            log_event(Event.ENGINE_SUSPECTED, engine=engine_id, reason=result.reason)
-
     def _may_try_again(self, call: Call, progress: Progress) -> bool:
         """Return whether another attempt follows the last one, and pay for it."""
         left_s = call.deadline - self._clock.monotonic()
--- a/dotterelpitch/gateway/ingress.py
+++ b/dotterelpitch/gateway/ingress.py
@@ -1,25 +1,23 @@
 """Takes callers' requests from aiohttp, checks them, and hands them on."""
 
 import asyncio
+import contextlib
 import traceback
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from http import HTTPStatus
 
 import xxhash
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
-from attrs import define, field
 
 from dotterelpitch.clock import Clock
+from dotterelpitch.errors import DotterelpitchError
+from dotterelpitch.gateway.aiohttp_answerer import AiohttpAnswerer
 from dotterelpitch.gateway.call import Answerer, Call
 from dotterelpitch.gateway.forwarding import Forwarder
 from dotterelpitch.gateway.refusals import choose_retry_after, send_problem
 from dotterelpitch.gateway.state import GatewayState
-from dotterelpitch.platform.headers import (
-    CallerHeaders,
-    Headers,
-    decode_caller_headers,
-)
+from dotterelpitch.platform.headers import CallerHeaders, decode_caller_headers
 from dotterelpitch.protocol.open_work import OpenWork
 from dotterelpitch.routing.route_table import Account, Route, RoutingConfig
 from dotterelpitch.telemetry.events import Event, log_event
@@ -32,7 +30,7 @@
 TRACE_FRAMES = 4
 
 
-class RefusedError(Exception):
+class RefusedError(DotterelpitchError):
     """A request that is answered without an engine."""
 
     def __init__(
@@ -47,51 +45,6 @@
         self.retry_after_s = retry_after_s
 
 
-@define
-class AiohttpAnswerer(Answerer):
-    """Answers one request that aiohttp has read."""
-
-    _request: web.BaseRequest
-    _is_stopping: Callable[[], bool]
-    _clock: Clock
-    _response: web.StreamResponse | None = field(default=None, init=False)
-
-    async def start(self, status: int, headers: Headers) -> None:
-        response = web.StreamResponse(status=status, headers=headers)
-        await self._send_head(response)
-
-    async def write(self, data: bytes) -> None:
-        await self._response.write(data)
-
-    async def end(self) -> None:
-        if self._is_stopping():
-            self._response.force_close()
-        await self._response.write_eof()
-
-    async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
-        kept = [(n, v) for n, v in headers if n.lower() != "content-length"]
-        response = web.Response(status=int(status), headers=kept, body=body)
-        await self._send_head(response)
-        await response.write_eof()
-
-    def abort(self) -> None:
-        if self._request.transport is not None:
-            self._request.transport.abort()
-
-    @property
-    def response(self) -> web.StreamResponse | None:
-        """What aiohttp's handler returns, once the answer has begun."""
-        return self._response
-
-    async def _send_head(self, response: web.StreamResponse) -> None:
-        if self._is_stopping():
-            response.force_close()
-        self._response = response
-        self.is_started = True
-        self.started_at = self._clock.monotonic()
-        await response.prepare(self._request)
-
-
 class Ingress:
     """The handler of callers' requests; ``is_stopping`` closes connections."""
 
@@ -129,28 +82,38 @@
         headers = decode_caller_headers(request.headers.items())
         with self.work.track(headers.request_id):
             try:
-                if request.transport is None:
-                    raise ConnectionResetError("closed before the request was begun")
-                call = await self._check(request, headers, started)
-                await self._forwarder.forward(call, answerer)
-            except RefusedError as error:
-                await send_problem(
-                    answerer,
-                    error.status,
-                    "not-run",
-                    headers.request_id,
-                    error.reason,
-                    error.retry_after_s,
-                )
+                await self._answer(request, headers, answerer, started)
             except asyncio.CancelledError:
                 self._log_left(headers.request_id, started)
                 raise
             except ConnectionError:
                 self._log_left(headers.request_id, started)
-                return answerer.response or web.Response()  # Nobody gets it.
             except Exception as error:
                 await self._report(error, headers.request_id, answerer)
-        return answerer.response
+        return answerer.response or web.Response()  # The latter reaches nobody.
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        headers: CallerHeaders,
+        answerer: Answerer,
+        started: float,
+    ) -> None:
+        if request.transport is None:
+            raise ConnectionResetError("closed before the request was begun")
+        try:
+            call = await self._check(request, headers, started)
+        except RefusedError as error:
+            await send_problem(
+                answerer,
+                error.status,
+                "not-run",
+                headers.request_id,
+                error.reason,
+                error.retry_after_s,
+            )
+            return
+        await self._forwarder.forward(call, answerer)
 
     def _log_left(self, request_id: str, started: float) -> None:
         seconds = round(self._clock.monotonic() - started, 4)
@@ -167,13 +130,11 @@
         if answerer.is_started:
             answerer.abort()
             return
-        await send_problem(
-            answerer,
-            HTTPStatus.BAD_GATEWAY,
-            "unknown",
-            request_id,
-            "the gateway met an error of its own",
-        )
+        reason = "the gateway met an error of its own"
+        with contextlib.suppress(ConnectionError):  # The caller has left meanwhile.
+            await send_problem(
+                answerer, HTTPStatus.BAD_GATEWAY, "unknown", request_id, reason
+            )
 
     async def _check(
         self, request: web.BaseRequest, headers: CallerHeaders, started: float
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -33,6 +33,7 @@
     SETTINGS_RELOADED = (104, logging.INFO, "the settings file was read again")
     SETTINGS_KEPT = (105, logging.ERROR, "a bad settings file leaves the old in force")
     METRICS_UNSERVED = (107, logging.WARNING, "the metrics address can't be used")
+    LIBRARY_LOGGED = (108, logging.WARNING, "a library has logged a message")
     LINES_DROPPED = (106, logging.WARNING, "log lines were left out")
     DOCUMENT_IN_FORCE = (201, logging.INFO, "a document revision is in force")
     DOCUMENT_REFUSED = (202, logging.ERROR, "a document is invalid and not used")
@@ -150,10 +151,25 @@
     logger.log(event.level, message, extra=extra)
 
 
+class LibraryHandler(logging.Handler):
+    """Turns what libraries log into events, so that every line is one."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log the message, and the error that came with it, without a trace."""
+        error = record.exc_info[1] if record.exc_info else None
+        log_event(
+            Event.LIBRARY_LOGGED,
+            source=record.name,
+            message=record.getMessage(),
+            error=repr(error) if error else "",
+        )
+
+
 def configure_line_logging(level: str, lines_per_second: int) -> None:
     """Send the events to standard output as bounded lines of JSON."""
     global _logs_text
     _logs_text = False
+    logging.getLogger().addHandler(LibraryHandler(logging.WARNING))
     logger.addHandler(LineWriter(lines_per_second))
     logger.setLevel(level)
     logger.propagate = False
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import signal
+import socket
+import struct
 
 import aiohttp
 import pytest
@@ -29,8 +31,10 @@
     world = GatewayWorld(tmp_path)
     yield world
     broke = [e for g in world.gateways for e in g.process.events(502)]
+    lines = [line for g in world.gateways for line in g.process.lines]
     await world.stop()
     assert not broke
+    assert not [line for line in lines if not line.startswith("{")]
 
 
 # What an engine does to one request.
@@ -328,6 +332,21 @@
         await world.exchanges()[0].caller_left.wait()
 
 
+async def test_callers_that_reset_at_once_leave_no_trace_of_an_error(world):
+    gateway = await world.start()
+    host, _, port = gateway.callers.rpartition(":")
+    for path in ["/nowhere/1", "/safe/1", "/unsafe/1"] * 20:
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(request_bytes(path, "POST", b"x" * 50_000))
+        await writer.drain()
+        linger = struct.pack("ii", 1, 0)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+    found = await send_raw(gateway.callers, request_bytes("/safe/1"))
+    assert found.startswith(b"HTTP/1.1 200 ")
+
+
 async def test_a_config_is_in_force_soon_and_never_goes_back(world):
     gateway = await world.start()
     routes = {**ROUTES, "new": {"kind": "safe", "max_attempts": 1}}
