End a start with a bad platform file by one line and code 2; drop what nothing used

The decoded load header of the engines was used by nothing and is gone; it is still not passed on to callers.

--- a/dotterelpitch/cli/program.py
+++ b/dotterelpitch/cli/program.py
@@ -113,9 +113,12 @@
         settings = load_settings(command.settings_class, parsed.flags)
     except SettingsError as error:
         _exit_bad_settings(error)
-    result = command.run(settings, *parsed.positional)
-    if inspect.iscoroutine(result):
-        result = asyncio.run(result)
+    try:
+        result = command.run(settings, *parsed.positional)
+        if inspect.iscoroutine(result):
+            result = asyncio.run(result)
+    except SettingsError as error:  # A file that the settings name is wrong.
+        _exit_bad_settings(error)
     if isinstance(result, int) and result:
         raise SystemExit(result)
 
--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -9,11 +9,9 @@
 from dotterelpitch.gateway.event_sequence import EventSequence
 from dotterelpitch.platform.headers import (
     EngineCall,
-    EngineLoad,
     Headers,
     Verdict,
     answer_headers,
-    decode_load,
     encode_engine_headers,
     judge_answer,
 )
@@ -67,7 +65,6 @@
     status: int = 0
     headers: Headers = ()
     body: bytes = b""
-    load: EngineLoad | None = None
     failure: Failure | None = None
     connect_s: float | None = None
     longest_pause_s: float | None = None
@@ -156,7 +153,6 @@
     ) -> AttemptResult:
         async with asyncio.timeout(self._left(limits.answer_by)):
             head = await connection.read_head()
-        load = decode_load(head.value_by_name)
         verdict = judge_answer(head.status, head.value_by_name)
         if verdict is not Verdict.ANSWERED:
             body = await self._read_failure(connection, limits)
@@ -166,7 +162,6 @@
                 head.status,
                 answer_headers(head.headers),
                 body,
-                load,
                 Failure.REFUSED if verdict is Verdict.OTHER_ENGINE else None,
             )
         pause_s = None
@@ -179,7 +174,6 @@
         return AttemptResult(
             AttemptEnd.DELIVERED,
             status=head.status,
-            load=load,
             longest_pause_s=pause_s,
         )
 
--- a/dotterelpitch/platform/headers.py
+++ b/dotterelpitch/platform/headers.py
@@ -95,15 +95,6 @@
     cache_source: str = ""
 
 
-@frozen
-class EngineLoad:
-    """What an engine reports of itself with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class Verdict(StrEnum):
     """What an answer of an engine means for its request."""
 
@@ -170,16 +161,6 @@
     return Verdict.ANSWERED
 
 
-def decode_load(value_by_name: Mapping[str, str]) -> EngineLoad | None:
-    """Return the load that an engine reports with its answer, if it does."""
-    parts = value_by_name.get(_LOAD, "").split(",")
-    try:
-        running, waiting, slots = (int(part) for part in parts)
-    except ValueError:
-        return None
-    return EngineLoad(running, waiting, slots)
-
-
 def answer_headers(raw: Iterable[tuple[str, str]]) -> Headers:
     """Return the headers of an engine's answer that its caller gets."""
     return [(n, v) for n, v in raw if n.lower() not in _NOT_FROM_ENGINE]
