Drop fields and methods that nothing used; wait for log lines by state, not by time

Nothing read the token counts of a prompt, the uses of a connection, or the bytes received; one loop reads a held body in place of two.

--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -155,7 +155,7 @@
             head = await connection.read_head()
         verdict = judge_answer(head.status, head.value_by_name)
         if verdict is not Verdict.ANSWERED:
-            body = await self._read_failure(connection, limits)
+            body = await self._read_held(connection, limits)
             return AttemptResult(
                 _END_BY_VERDICT[verdict],
                 f"status {head.status}",
@@ -177,14 +177,15 @@
             longest_pause_s=pause_s,
         )
 
-    async def _read_failure(
+    async def _read_held(
         self, connection: EngineConnection, limits: AttemptLimits
     ) -> bytes:
-        body = b""
+        """Return the body, or about its first ``HELD_BYTES``."""
+        body = bytearray()
         async with asyncio.timeout(self._left(limits.answer_by)):
             while len(body) < HELD_BYTES and (data := await connection.read_body()):
                 body += data
-        return body
+        return bytes(body)
 
     async def _relay_whole(
         self,
@@ -193,17 +194,14 @@
         limits: AttemptLimits,
         answerer: Answerer,
     ) -> None:
-        body = bytearray()
-        async with asyncio.timeout(self._left(limits.answer_by)):
-            while len(body) < HELD_BYTES and (data := await connection.read_body()):
-                body += data
+        body = await self._read_held(connection, limits)
         headers = answer_headers(head.headers)
         if len(body) < HELD_BYTES:
-            await answerer.send_whole(head.status, headers, bytes(body))
+            await answerer.send_whole(head.status, headers, body)
             return
         async with asyncio.timeout(self._left(limits.deadline)):
             await answerer.start(head.status, headers)
-            await answerer.write(bytes(body))
+            await answerer.write(body)
             while data := await connection.read_body():
                 await answerer.write(data)
             await answerer.end()
--- a/dotterelpitch/gateway/call.py
+++ b/dotterelpitch/gateway/call.py
@@ -53,9 +53,8 @@
 
         The last part of all belongs to the request alone.
         """
-        parts = self.headers.prompt if self.route.has_prompt else ()
-        shared = parts[:-1] or parts
-        return tuple(part.id for part in shared)
+        parts = self.headers.prompt_parts if self.route.has_prompt else ()
+        return parts[:-1] or parts
 
 
 @define
--- a/dotterelpitch/gateway/store_feed.py
+++ b/dotterelpitch/gateway/store_feed.py
@@ -38,7 +38,6 @@
         self._wait_s = wait_s
         self._needs_list = False
         self._failures = 0
-        self.calls = 0
 
     async def run(self) -> None:
         """Read until cancelled; no failure of the store ends it."""
@@ -65,7 +64,6 @@
 
     async def _read_once(self) -> None:
         away_s = self._state.age_s
-        self.calls += 1
         if self._needs_list or not self._state.revision:
             answer = await self._store.read_all(ALL_KEYS)
             may_be_incomplete = away_s > LAPSE_SECONDS and self._state.revision > 0
--- a/dotterelpitch/platform/headers.py
+++ b/dotterelpitch/platform/headers.py
@@ -55,28 +55,21 @@
 Headers = list[tuple[str, str]]
 
 
-@frozen
-class PromptPart:
-    """A part of a prompt; the same id means the same tokens after the same parts."""
-
-    id: str
-    tokens: int
-
-
 @frozen
 class CallerHeaders:
     """What a caller's headers say.
 
-    ``budget_s`` is the time that the caller will wait, or None. ``passed_on``
-    holds the headers that go to the engine as they came.
+    ``budget_s`` is the time that the caller will wait, or None. ``prompt_parts``
+    are the ids of the parts of a prompt, in order; the same id means the same
+    tokens after the same parts. ``passed_on`` holds the headers that go to the
+    engine as they came.
     """
 
     request_id: str
     key: str
     budget_s: float | None
     last_event_id: str
-    prompt: tuple[PromptPart, ...]
-    output_tokens: int
+    prompt_parts: tuple[str, ...]
     passed_on: Headers
 
 
@@ -90,7 +83,6 @@
     engine_id: str
     account: str
     budget_s: float
-    priority: int | None = None
     last_event_id: str = ""
     cache_source: str = ""
 
@@ -120,8 +112,7 @@
         key=value_by_name.get("credential", ""),
         budget_s=_decode_budget(value_by_name.get("deadline-ms", "")),
         last_event_id=value_by_name.get("last-event-id", ""),
-        prompt=_decode_prompt(value_by_name.get("prompt-prefix", "")),
-        output_tokens=_decode_output(value_by_name.get("token-usage", "")),
+        prompt_parts=_decode_prompt(value_by_name.get("prompt-prefix", "")),
         passed_on=passed_on,
     )
 
@@ -139,8 +130,6 @@
     headers.append(("Expect-Instance", call.engine_id))
     if call.account:
         headers.append(("Tenant", call.account))
-    if call.priority is not None:
-        headers.append(("Request-Priority", str(call.priority)))
     if call.cache_source:
         headers.append(("Kv-Fetch", call.cache_source))
     return headers
@@ -179,14 +168,7 @@
         return None
 
 
-def _decode_prompt(text: str) -> tuple[PromptPart, ...]:
-    parts = []
-    for entry in text.split(",") if text else ():
-        part_id, _, tokens = entry.strip().partition(":")
-        parts.append(PromptPart(part_id, int(tokens) if tokens.isdigit() else 0))
-    return tuple(parts)
-
-
-def _decode_output(text: str) -> int:
-    output = text.rpartition(",")[2].strip()
-    return int(output) if output.isdigit() else 0
+def _decode_prompt(text: str) -> tuple[str, ...]:
+    """Return the part ids of entries such as ``5c1e07a2:800``."""
+    entries = text.split(",") if text else ()
+    return tuple(entry.strip().partition(":")[0] for entry in entries)
--- a/dotterelpitch/routing/cache_sources.py
+++ b/dotterelpitch/routing/cache_sources.py
@@ -38,10 +38,10 @@
         Copying from an engine that doesn't answer delays the first token, so
         only trusted ones are returned.
         """
-        held_by = self._holders.missing_at(chosen.run, shared_parts)
+        if self._holders.has_read(chosen.run, shared_parts[-1]):
+            return None
         candidates = self._usual(service, shared_parts, chosen, ranked)
-        engine_by_run = {e.run: e for e in self._directory.engine_by_id.values()}
-        candidates += [engine_by_run[run] for run in held_by if run in engine_by_run]
+        candidates += self._readers(shared_parts, chosen)
         return next((engine for engine in candidates if is_trusted(engine)), None)
 
     def _usual(
@@ -52,8 +52,6 @@
         ranked: Ranked,
     ) -> list[Engine]:
         """Return the engine that this chat had until lately, unless chosen."""
-        if self._holders.has_read(chosen.run, shared_parts[-1]):
-            return []
         holder_by_id = {
             engine.id: engine
             for engine in self._directory.cache_holders(service, SETTLED_SECONDS)
@@ -62,3 +60,11 @@
             return []
         usual_id = ranked(sorted(holder_by_id), shared_parts[-1])[0]
         return [] if usual_id == chosen.id else [holder_by_id[usual_id]]
+
+    def _readers(self, shared_parts: Sequence[str], chosen: Engine) -> list[Engine]:
+        """Return the engines that this VM has sent more of the prompt to."""
+        held_by = self._holders.missing_at(chosen.run, shared_parts)
+        if not held_by:
+            return []
+        engine_by_run = {e.run: e for e in self._directory.engine_by_id.values()}
+        return [engine_by_run[run] for run in held_by if run in engine_by_run]
--- a/dotterelpitch/routing/error_rates.py
+++ b/dotterelpitch/routing/error_rates.py
@@ -58,10 +58,6 @@
         outcomes.total += 1.0
         outcomes.failed += failed
 
-    def success(self, engine_id: str) -> float:
-        """Return the part of an engine's requests that succeed lately."""
-        return self._success(engine_id)[0]
-
     def shares(self, engine_ids: Sequence[str]) -> dict[str, float]:
         """Return the share of usual work of each engine, at most 1.
 
--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -41,7 +41,6 @@
         self.is_reusable = True
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_SECONDS
-        self.uses = 0
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future | None = None
         self._reset_answer()
@@ -50,7 +49,6 @@
 
     def send(self, data: bytes, request_id: str, expects_body: bool = True) -> None:
         """Write one whole request."""
-        self.uses += 1
         self._request_id = request_id
         self._expects_body = expects_body
         self._is_busy = True
@@ -103,11 +101,6 @@
         """Whether the connection has ended or is about to."""
         return self._transport is None or self._transport.is_closing()
 
-    @property
-    def has_answer_bytes(self) -> bool:
-        """Whether anything has come back for the request under way."""
-        return self._received > 0
-
     # What asyncio calls.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -119,7 +112,6 @@
             if not self._is_busy:
                 self.close()
             return
-        self._received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -203,7 +195,6 @@
         self._raw_headers: list[tuple[str, str]] = []
         self._head_bytes = 0
         self._body = bytearray()
-        self._received = 0
         self._is_complete = False
         self._is_skipped = False
         self._ends_with_connection = False
--- a/tests/test_line_writer.py
+++ b/tests/test_line_writer.py
@@ -1,6 +1,5 @@
 """Log lines: bounded under load, and never waiting for their reader."""
 
-import asyncio
 import json
 import logging
 import os
@@ -10,6 +9,7 @@
 
 from dotterelpitch.telemetry import line_writer
 from dotterelpitch.telemetry.line_writer import LineWriter
+from tests.harness.waiting import eventually
 
 
 @pytest.fixture
@@ -74,11 +74,13 @@
     assert 0 < kept < 10_000
     second[0] += 1
     writer.emit(record(501, is_request=True))
-    for _ in range(50):
+
+    def is_all_written():
         writer.flush()
         read_lines_partly(reading)
-        await asyncio.sleep(0)
-    assert not writer._waiting
+        return not writer._waiting
+
+    assert await eventually(is_all_written, 5.0)
 
 
 def read_lines_partly(reading):
@@ -93,5 +95,5 @@
     writer = LineWriter(100, writing)
     writer.emit(record(501, is_request=True))
     assert read_lines(reading) == []
-    await asyncio.sleep(line_writer.FLUSH_SECONDS * 2)
-    assert len(read_lines(reading)) == 1
+    lines = await eventually(lambda: read_lines(reading), 5.0)
+    assert len(lines) == 1
