Decode only the changed routes of a config, and only the last config of an answer

Cause: a config of 1,500 routes took 27 ms to decode on this machine (7 ms of it JSON), on VMs that have half a core and get 25 versions in 1.5 s. Versions differ in a few routes, so a route whose table equals the one before is kept. Of several configs in one answer of the store only the last readable one is decoded.

--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -6,13 +6,16 @@
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import PlatformError
 from dotterelpitch.gateway.change_log import ChangeLog
-from dotterelpitch.platform.config_record import CONFIG_KEY, decode_config
+from dotterelpitch.platform.config_record import CONFIG_KEY, ConfigDecoder
 from dotterelpitch.platform.engine_record import ENGINE_PREFIX, decode_engine
 from dotterelpitch.platform.store import StoreAnswer, StoreRecord
 from dotterelpitch.routing.engines import Engine, EngineDirectory
 from dotterelpitch.routing.route_table import RoutingConfig
 from dotterelpitch.telemetry.events import Event, log_event
 
+# A process that has never heard of the store says this age.
+MAX_AGE_SECONDS = 3600.0
+
 
 class GatewayState:
     """Takes in records of the store, from the store itself or from a peer.
@@ -24,6 +27,7 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.directory = EngineDirectory(clock)
+        self._config_decoder = ConfigDecoder()
         self.config: RoutingConfig | None = None
         self.has_config = asyncio.Event()
         self.record_by_key: dict[str, bytes] = {}
@@ -37,6 +41,11 @@
         """Seconds since the store has last answered, here or at a peer."""
         return self.clock.monotonic() - self.confirmed_at
 
+    @property
+    def age_ms(self) -> int:
+        """The age for a peer, in milliseconds and bounded."""
+        return int(min(self.age_s, MAX_AGE_SECONDS) * 1000)
+
     def take_list(
         self, answer: StoreAnswer, may_be_incomplete: bool, age_s: float = 0.0
     ) -> None:
@@ -66,12 +75,14 @@
 
     def take_changes(self, answer: StoreAnswer, age_s: float = 0.0) -> None:
         """Take in the changes of one watch, as it was ``age_s`` ago."""
-        for record in answer.records:
-            if record.key == CONFIG_KEY:
-                self._take_config(record)
-            elif record.key.startswith(ENGINE_PREFIX):
+        configs = [r for r in answer.records if r.key == CONFIG_KEY]
+        # Of several configs the last readable one counts: each is large.
+        any(self._take_config(record) for record in reversed(configs))
+        newest_by_key = {record.key: record for record in answer.records}
+        for record in newest_by_key.values():
+            if record.key.startswith(ENGINE_PREFIX):
                 self._take_engine(record)
-        keys = [record.key for record in answer.records]
+        keys = list(newest_by_key)
         self.change_log.add(answer.revision, keys)
         self.confirm(answer.revision, age_s)
 
@@ -93,19 +104,20 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def _take_config(self, record: StoreRecord) -> None:
+    def _take_config(self, record: StoreRecord) -> bool:
+        """Use a config if it is newer; return whether it could be read."""
         if record.value is None:
-            return
+            return False
         try:
-            config = decode_config(record.value)
+            config = self._config_decoder.decode(record.value)
         except PlatformError as error:
             log_event(Event.CONFIG_REFUSED, reason=str(error))
-            return
+            return False
         old = self.config.version if self.config else 0
         if config.version <= old:
             if config.version < old:
                 log_event(Event.CONFIG_OLDER_IGNORED, offered=config.version, held=old)
-            return
+            return True
         self.config = config
         self.record_by_key[CONFIG_KEY] = record.value
         self.has_config.set()
@@ -117,6 +129,7 @@
             routes=len(config.routes),
             keys=len(config.account_by_key),
         )
+        return True
 
     def _take_engine(self, record: StoreRecord) -> None:
         if record.value is None:
--- a/dotterelpitch/platform/config_record.py
+++ b/dotterelpitch/platform/config_record.py
@@ -22,20 +22,44 @@
 
 _MAX_CONNECTIONS = 100
 
-
-def decode_config(value: bytes) -> RoutingConfig:
-    """Return the config in a record's value; raises PlatformError."""
-    try:
-        content = json.loads(value)
-    except ValueError as error:
-        raise PlatformError(f"the config can't be read: {error}") from error
-    return RoutingConfig(
-        version=read_field(content, "version", int),
-        routes=[_decode_route(r) for r in read_field(content, "routes", list)],
-        service_by_name=_decode_services(read_field(content, "services", list, [])),
-        account_by_key=_decode_accounts(read_field(content, "tenants", list, [])),
-        limits=_decode_limits(read_field(content, "limits", dict, {})),
-    )
+_Place = tuple[str, str]
+
+
+class ConfigDecoder:
+    """Decodes one version of the config after the other.
+
+    Versions differ in a few routes of perhaps thousands, so a route whose table
+    is as it was before isn't decoded again.
+    """
+
+    def __init__(self) -> None:
+        self._decoded_by_place: dict[_Place, tuple[Any, Route]] = {}
+
+    def decode(self, value: bytes) -> RoutingConfig:
+        """Return the config in a record's value; raises PlatformError."""
+        try:
+            content = json.loads(value)
+        except ValueError as error:
+            raise PlatformError(f"the config can't be read: {error}") from error
+        decoded = [self._decode(t) for t in read_field(content, "routes", list)]
+        config = RoutingConfig(
+            version=read_field(content, "version", int),
+            routes=[route for _, route in decoded],
+            service_by_name=_decode_services(read_field(content, "services", list, [])),
+            account_by_key=_decode_accounts(read_field(content, "tenants", list, [])),
+            limits=_decode_limits(read_field(content, "limits", dict, {})),
+        )
+        self._decoded_by_place = {
+            (route.host, route.path_prefix): (table, route) for table, route in decoded
+        }
+        return config
+
+    def _decode(self, table: Any) -> tuple[Any, Route]:
+        place = (read_field(table, "host", str), read_field(table, "path_prefix", str))
+        decoded = self._decoded_by_place.get(place)
+        if decoded is not None and decoded[0] == table:
+            return decoded
+        return table, _decode_route(table)
 
 
 def _decode_route(table: Any) -> Route:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -63,6 +63,21 @@
     assert state.config.version == in_force
 
 
+@pytest.mark.parametrize(
+    ("values", "in_force"),
+    [
+        ([b'{"version": 6}', config_record(7).value], 7),
+        ([config_record(6).value, config_record(7).value], 7),
+        ([config_record(6).value, b"{"], 6),
+        ([b"{", None], 5),
+    ],
+)
+def test_the_last_readable_config_of_one_answer_counts(state, values, in_force):
+    records = tuple(StoreRecord(CONFIG_KEY, value) for value in values)
+    state.take_changes(StoreAnswer(records, 11))
+    assert state.config.version == in_force
+
+
 @pytest.mark.parametrize("value", [None, b"", b"{", b"[]", b'{"version": "9"}'])
 def test_a_config_that_cannot_be_read_leaves_the_last_one_in_force(state, value):
     state.take_changes(StoreAnswer((StoreRecord(CONFIG_KEY, value),), 11))
--- a/tests/test_route_table.py
+++ b/tests/test_route_table.py
@@ -5,7 +5,7 @@
 import pytest
 
 from dotterelpitch.errors import PlatformError
-from dotterelpitch.platform.config_record import decode_config
+from dotterelpitch.platform.config_record import ConfigDecoder
 from dotterelpitch.routing.route_table import (
     CallerLimits,
     CallKind,
@@ -113,7 +113,7 @@
 
 
 def test_a_config_record_is_decoded_into_the_products_words():
-    config = decode_config(json.dumps(RECORD).encode())
+    config = ConfigDecoder().decode(json.dumps(RECORD).encode())
     found = config.find_route("h", "/p/1")
     assert config.version == 7
     assert found.services == (WeightedService("s1", 90), WeightedService("s2", 10))
@@ -126,6 +126,24 @@
     assert config.limits.idle_timeout_s == 2.0
 
 
+@pytest.mark.parametrize(
+    ("path", "value", "is_reused"),
+    [
+        (["version"], 8, True),
+        (["routes", 0, "timeout_ms"], 9000, False),
+        (["routes", 0, "backends", 0, "weight"], 50, False),
+        (["routes", 0, "host"], "other", False),
+    ],
+)
+def test_a_version_decodes_only_the_routes_that_changed(path, value, is_reused):
+    decoder = ConfigDecoder()
+    before = decoder.decode(json.dumps(RECORD).encode()).routes[0]
+    after = decoder.decode(changed(path, value)).routes[0]
+    fresh = ConfigDecoder().decode(changed(path, value)).routes[0]
+    assert after == fresh
+    assert (after is before) is is_reused
+
+
 @pytest.mark.parametrize(
     ("path", "value", "field"),
     [
@@ -141,7 +159,7 @@
 )
 def test_a_wrong_field_of_a_config_is_named(path, value, field):
     with pytest.raises(PlatformError, match=field):
-        decode_config(changed(path, value))
+        ConfigDecoder().decode(changed(path, value))
 
 
 @pytest.mark.parametrize(
@@ -160,5 +178,5 @@
 ):
     content = json.loads(changed(["routes", 0, "kind"], kind))
     content["routes"][0]["stream_resume"] = resumable
-    config = decode_config(json.dumps(content).encode())
+    config = ConfigDecoder().decode(json.dumps(content).encode())
     assert config.find_route("h", "/p/").may_repeat is may_repeat
