--- /dev/null
+++ b/scripts/gateway_soak.py
@@ -0,0 +1,49 @@
+"""Soaks small fleets of gateways, one seed after the other, and prints what broke.
+
+python scripts/gateway_soak.py --first 1 --count 50 --seconds 20
+"""
+
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+import fire
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from tests.harness.gateway_soak.runner import SoakResult, run_gateway_soak
+
+
+def main(
+    first: int = 1, count: int = 1, seconds: float = 20.0, folder: str = ""
+) -> None:
+    """Soak with ``count`` seeds from ``first`` on; exit 1 when a promise is broken.
+
+    ``folder`` gets a report and the log of each gateway of the seeds that failed.
+    """
+    failed = []
+    for seed in range(first, first + count):
+        with tempfile.TemporaryDirectory() as settings:
+            result = asyncio.run(run_gateway_soak(Path(settings), seconds, seed))
+        print(
+            result.report() if result.violations else f"seed {seed}: kept", flush=True
+        )
+        print(f"  {result.outcomes}", flush=True)
+        if result.violations:
+            failed.append(seed)
+            if folder:
+                _save(Path(folder) / f"seed-{seed}", result)
+    print(f"{count - len(failed)} of {count} seeds kept all promises; failed: {failed}")
+    sys.exit(1 if failed else 0)
+
+
+def _save(folder: Path, result: SoakResult) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "report.txt").write_text(result.report(), encoding="utf-8")
+    for vm, text in result.logs.items():
+        (folder / f"{vm}.log").write_text(text, encoding="utf-8")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/tests/harness/gateway_soak/engine.py
@@ -0,0 +1,158 @@
+"""An engine that records what it runs and fails as it is told."""
+
+import asyncio
+import hashlib
+import random
+import time
+
+from tests.harness.gateway_soak.history import History, Run
+from tests.harness.proxy import FaultProxy
+from tests.harness.scripted_engine import EngineExchange, ScriptedEngine
+
+EVENT_SECONDS = 0.03
+WORK_SECONDS = (0.002, 0.03)
+# The share of its answers that a disturbed engine spoils.
+SPOILT = 0.3
+
+
+def seal(request_id: str, body: bytes) -> str:
+    """Return what proves that a body is the engine's own."""
+    return hashlib.sha256(request_id.encode() + body).hexdigest()[:16]
+
+
+def plain_body(request_id: str) -> bytes:
+    """Return the one right body of a plain answer."""
+    return f"answer to {request_id}".encode() * (1 + sum(request_id.encode()) % 40)
+
+
+def event_count(request_id: str) -> int:
+    """Return how many events the stream of a request has."""
+    return 1 + sum(request_id.encode()) % 30
+
+
+def event(request_id: str, number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
+
+
+class SoakEngine:
+    """One engine behind a proxy; ``mode`` says how it fails now."""
+
+    def __init__(self, engine_id: str, service: str, domain: str, history: History):
+        self.id = engine_id
+        self.service = service
+        self.domain = domain
+        self.born = int(time.time() * 1000)
+        self.mode = ""
+        self._history = history
+        self._random = random.Random(engine_id)
+        self._server = ScriptedEngine(engine_id, self._behave)
+        self.proxy: FaultProxy | None = None
+
+    async def start(self, address: str, proxy: FaultProxy | None = None) -> None:
+        """Listen; an engine may take over the proxy of one that is gone."""
+        await self._server.start(address)
+        self.proxy = proxy or FaultProxy(address, self.id)
+        self.proxy.target = address
+        if proxy is None:
+            await self.proxy.start()
+
+    async def stop(self) -> None:
+        """Die at once: reset all connections and listen no more."""
+        self.proxy.refuse()
+        await self._server.stop()
+
+    def record(self, state: str) -> dict:
+        """Return the engine's entry in the store."""
+        return {
+            "service": self.service,
+            "address": self.proxy.address,
+            "zone": self.domain,
+            "state": state,
+            "capacity": 16,
+            "call_seq": 0,
+            "born": self.born,
+        }
+
+    async def _behave(self, exchange: EngineExchange) -> None:
+        request_id = exchange.header("Request-Id")
+        run = Run(
+            request_id,
+            self.id,
+            self.service,
+            exchange.header("Tenant"),
+            exchange.header("Credential") is not None,
+            exchange.target.endswith(f"/{request_id}")
+            and exchange.body == request_body(request_id),
+            time.monotonic(),
+        )
+        self._history.runs.append(run)
+        if exchange.header("Expect-Instance") != self.id:
+            run.ran = False
+            exchange.write_head(
+                "421 Misdirected", "Not-Executed: 1", "Content-Length: 0"
+            )
+            return
+        spoils = bool(self.mode) and self._random.random() < SPOILT
+        try:
+            await self._answer(exchange, request_id, self.mode if spoils else "")
+        finally:
+            run.ended = time.monotonic()
+
+    async def _answer(self, exchange: EngineExchange, request_id: str, mode: str):
+        if mode == "errors":
+            exchange.write_head("500 Error", "Content-Length: 0")
+            return
+        if exchange.target.startswith(("/stream", "/resumable")):
+            await self._stream(exchange, request_id, mode)
+            return
+        work_s = self._random.uniform(*WORK_SECONDS)
+        await asyncio.sleep(work_s * (30 if mode == "slow" else 1))
+        if mode == "lost":
+            exchange.reset()
+            return
+        body = plain_body(request_id)
+        _write_head(exchange, request_id, f"Content-Length: {len(body)}")
+        if mode == "cut":
+            exchange.writer.write(body[: len(body) // 2])
+            exchange.writer.close()
+            return
+        exchange.writer.write(body)
+        if mode == "extra":
+            exchange.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+
+    async def _stream(self, exchange: EngineExchange, request_id: str, mode: str):
+        first = int(exchange.header("Last-Event-Id") or 0) + 1
+        last = event_count(request_id)
+        _write_head(
+            exchange,
+            request_id,
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        )
+        breaks_at = self._random.randint(first, last) if mode in ("lost", "cut") else 0
+        for number in range(first, last + 1):
+            if exchange.caller_left.is_set() or exchange.writer.is_closing():
+                return
+            data = event(request_id, number)
+            if number == breaks_at:
+                exchange.write_chunk(data[: len(data) // 2])
+                exchange.reset()
+                return
+            exchange.write_chunk(data)
+            await asyncio.sleep(EVENT_SECONDS * (10 if mode == "slow" else 1))
+        exchange.write_chunk(b"")
+
+
+def request_body(request_id: str) -> bytes:
+    """Return the body that a request with this id has."""
+    return f"body of {request_id}".encode()
+
+
+def _write_head(exchange: EngineExchange, request_id: str, *lines: str) -> None:
+    head = [
+        "HTTP/1.1 200 OK",
+        f"Request-Id: {request_id}",
+        f"Response-Seal: {seal(request_id, plain_body(request_id))}",
+    ]
+    exchange.writer.write("\r\n".join([*head, *lines, "", ""]).encode())
--- /dev/null
+++ b/tests/harness/gateway_soak/world.py
@@ -0,0 +1,206 @@
+"""Gateways of several failure domains with a fault proxy on each of their links."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from pathlib import Path
+
+import aiohttp
+import attrs
+
+from tests.harness.gateway_soak.engine import SoakEngine
+from tests.harness.gateway_soak.history import BASE_KEY, ConfigVersion, History
+from tests.harness.gateway_world import Gateway, config
+from tests.harness.platform_store import PlatformStore
+from tests.harness.ports import free_address
+from tests.harness.proxy import FaultProxy
+from tests.harness.waiting import pause
+
+DOMAINS = "abc"
+MESH_VMS = 3
+BASE_ROUTES = {
+    "safe": {"kind": "safe", "max_attempts": 2, "service": "calls"},
+    "unsafe": {"kind": "unsafe", "max_attempts": 1, "service": "calls"},
+    "stream": {
+        "kind": "streaming",
+        "max_attempts": 1,
+        "service": "chats",
+        "session_affinity": True,
+    },
+    "resumable": {
+        "kind": "streaming",
+        "max_attempts": 2,
+        "service": "chats",
+        "stream_resume": True,
+        "session_affinity": True,
+    },
+}
+RETRY_SHARE = 0.2
+RETRY_SLACK = 40
+DRAIN_SECONDS = 2.0
+BALANCER_SECONDS = 0.5
+
+
+@attrs.define
+class SoakVm:
+    """One gateway with the proxies before its store and its peer port."""
+
+    name: str
+    domain: str
+    gateway: Gateway
+    store: FaultProxy
+    peers: FaultProxy
+    is_down: bool = False
+    ready_misses: int = 0
+
+    @property
+    def in_rotation(self) -> bool:
+        """Whether the balancer sends new connections here."""
+        return self.ready_misses < 2
+
+
+class SoakWorld:
+    """The fleet, its engines, its store, and the balancer before it."""
+
+    def __init__(self, folder: Path, vms: int, seed: int) -> None:
+        self.history = History()
+        self.random = random.Random(seed)
+        self.store = PlatformStore(page=50)
+        self.vms: list[SoakVm] = []
+        self.engine_by_id: dict[str, SoakEngine] = {}
+        self.routes = dict(BASE_ROUTES)
+        self.keys = [BASE_KEY]
+        self._vm_count = vms
+        self._folder = folder
+        self._version = 0
+        self._engine_count = 0
+        self._balancer: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Start everything and wait until all gateways are ready."""
+        await self.store.start(free_address())
+        self.write_config()
+        for service, count in (("calls", 3), ("chats", 3)):
+            for number in range(count):
+                await self.add_engine(service, DOMAINS[number % len(DOMAINS)])
+        for number in range(self._vm_count):
+            await self._add_vm(f"vm{number + 1}", DOMAINS[number % len(DOMAINS)])
+        for vm in self.vms:
+            await vm.gateway.process.start()
+        for vm in self.vms:
+            await vm.gateway.wait_ready()
+        self._balancer = asyncio.create_task(self._balance())
+
+    async def stop(self) -> None:
+        """End what was started, and nothing else."""
+        if self._balancer is not None:
+            self._balancer.cancel()
+        for vm in self.vms:
+            await vm.gateway.process.kill()
+            await vm.store.stop()
+            await vm.peers.stop()
+        for engine in self.engine_by_id.values():
+            await engine.stop()
+            await engine.proxy.stop()
+        await self.store.stop()
+
+    def vm(self, name: str) -> SoakVm:
+        """Return a VM by its name."""
+        return next(vm for vm in self.vms if vm.name == name)
+
+    def write_config(self) -> None:
+        """Write a new version with the routes and keys of now."""
+        self._version += self.random.randint(1, 5)
+        content = config(self._version, self.routes, tuple(self.keys))
+        content["services"] = [
+            {"name": name, "max_conns": 200} for name in ("calls", "chats")
+        ]
+        self.store.put("op/config", content)
+        self.history.configs.append(
+            ConfigVersion(
+                self._version,
+                time.monotonic(),
+                frozenset(self.routes),
+                frozenset(self.keys),
+            )
+        )
+
+    async def add_engine(
+        self, service: str, domain: str, proxy: FaultProxy | None = None
+    ) -> SoakEngine:
+        """Start and register a new engine, perhaps at the address of an old one."""
+        self._engine_count += 1
+        engine = SoakEngine(f"e{self._engine_count}", service, domain, self.history)
+        await engine.start(free_address(), proxy)
+        if proxy is not None:
+            proxy.accept_again()
+        self.engine_by_id[engine.id] = engine
+        self.list_engine(engine)
+        return engine
+
+    def list_engine(self, engine: SoakEngine, state: str = "ready") -> None:
+        """Write an engine's entry."""
+        self.store.put(f"servers/{engine.id}", engine.record(state))
+
+    def delist_engine(self, engine: SoakEngine) -> None:
+        """Delete an engine's entry."""
+        self.store.delete(f"servers/{engine.id}")
+
+    async def restart(self, vm: SoakVm) -> None:
+        """Start the process of a VM again and wait until it is ready."""
+        vm.is_down = False
+        await vm.gateway.process.start()
+        with contextlib.suppress(AssertionError):
+            await vm.gateway.wait_ready()
+
+    def reload(self, vm: SoakVm, with_signal: bool) -> None:
+        """Change the settings file of a VM, with a SIGHUP or without."""
+        seeds = self.random.sample([v.peers.address for v in self.vms], 2)
+        self._write_settings(vm, seeds)
+        if with_signal:
+            vm.gateway.process.send_signal(signal.SIGHUP)
+
+    async def _add_vm(self, name: str, domain: str) -> None:
+        gateway = Gateway(name, self._folder, free_address(), [], mesh_vms=MESH_VMS)
+        store = FaultProxy(self.store.address)
+        peers = FaultProxy(gateway.peers)
+        await store.start()
+        await peers.start()
+        gateway.process.add_flag("peer_address", peers.address)
+        vm = SoakVm(name, domain, gateway, store, peers)
+        self.vms.append(vm)
+        self._write_settings(vm, [v.peers.address for v in self.vms[:3]])
+
+    def _write_settings(self, vm: SoakVm, seeds: list[str]) -> None:
+        vm.gateway.write_settings(
+            vm.store.address,
+            seeds,
+            zone=vm.domain,
+            bounds={
+                "grace_s": 5,
+                "retry_budget": RETRY_SHARE,
+                "retry_slack": RETRY_SLACK,
+                "budget_window_s": 10,
+                "drain_ms": DRAIN_SECONDS * 1000,
+            },
+        )
+
+    async def _balance(self) -> None:
+        """Ask each gateway whether it is ready, as the balancer does."""
+        while True:
+            await asyncio.gather(*(self._ask_ready(vm) for vm in self.vms))
+            await pause(BALANCER_SECONDS)
+
+    async def _ask_ready(self, vm: SoakVm) -> None:
+        try:
+            async with asyncio.timeout(BALANCER_SECONDS):
+                status = await vm.gateway.ready_status()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            status = 0
+        vm.ready_misses = 0 if status == 200 else vm.ready_misses + 1
+        process = vm.gateway.process
+        if not vm.is_down and not process.running:
+            self.history.own_ends.append(vm.name)
+            vm.is_down = True
--- a/tests/harness/scripted_engine.py
+++ b/tests/harness/scripted_engine.py
@@ -54,10 +54,14 @@
 
 
 class ScriptedEngine:
-    """Listens and answers; ``script`` holds what the next requests get."""
+    """Listens and answers.
 
-    def __init__(self, engine_id: str) -> None:
+    ``script`` holds what the next requests get, ``behaviour`` what all others do.
+    """
+
+    def __init__(self, engine_id: str, behaviour: Behaviour = answer) -> None:
         self.id = engine_id
+        self.behaviour = behaviour
         self.address = ""
         self.script: list[Behaviour] = []
         self.exchanges: list[EngineExchange] = []
@@ -81,10 +85,11 @@
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while (exchange := await self._read(reader, writer)) is not None:
                 self.exchanges.append(exchange)
-                behaviour = self.script.pop(0) if self.script else answer
+                behaviour = self.script.pop(0) if self.script else self.behaviour
                 watcher = asyncio.create_task(_watch_end(reader, exchange))
                 await behaviour(exchange)
                 watcher.cancel()
+                await asyncio.gather(watcher, return_exceptions=True)
                 await writer.drain()
         writer.close()
 
