--- a/dotterelpitch/protocol/connection.py
+++ b/dotterelpitch/protocol/connection.py
@@ -18,6 +18,7 @@
     StreamResetError,
 )
 from dotterelpitch.protocol.codec import FrameDecoder, encode_frame
+from dotterelpitch.protocol.frame_sink import FrameSink
 from dotterelpitch.protocol.frames import (
     Credit,
     Data,
@@ -50,7 +51,7 @@
 Handler = Callable[[Stream, Any], Awaitable[None]]
 
 
-class Connection:
+class Connection(FrameSink):
     """A connection after the handshake; ``run`` is its one reading task."""
 
     def __init__(
--- a/dotterelpitch/protocol/stream.py
+++ b/dotterelpitch/protocol/stream.py
@@ -2,21 +2,19 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from dotterelpitch.errors import ProtocolError, StreamResetError
+from dotterelpitch.protocol.frame_sink import FrameSink
 from dotterelpitch.protocol.frames import Credit, Data, End, Reset
 
-if TYPE_CHECKING:
-    from dotterelpitch.protocol.connection import Connection
-
 STREAM_WINDOW_BYTES = 256 * 1024
 
 
 class Stream:
     """One exchange on a connection."""
 
-    def __init__(self, connection: "Connection", number: int) -> None:
+    def __init__(self, connection: FrameSink, number: int) -> None:
         self.number = number
         self.connection = connection
         self._inbox: deque[Any] = deque()
