End with code 0 on a stop that comes during the imports

The handler is set before the imports now. What is left is the time before the interpreter runs any line, which no program can answer for; the soak counts such a stop only if the process has said that it started, or has ended in another way than by the signal. The test fails without the change.

--- a/dotterelpitch/gateway/__main__.py
+++ b/dotterelpitch/gateway/__main__.py
@@ -1,7 +1,10 @@
 """The command ``dotterelpitch-gateway``."""
 
+import signal
 import sys
 
+# A stop that comes during the imports has nothing to finish: it ends with 0 too.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
 # No connection of the gateway uses TLS. Without the module, aiohttp doesn't load
 # certificates at its import, which takes a third of the time of a start.
 sys.modules.setdefault("ssl", None)
--- a/tests/harness/gateway_soak/faults.py
+++ b/tests/harness/gateway_soak/faults.py
@@ -1,6 +1,7 @@
 """The faults of the soak: one coroutine each, which lasts as long as its fault."""
 
 import asyncio
+import signal
 from collections.abc import Awaitable, Callable
 
 from tests.harness.gateway_soak.engine import SoakEngine
@@ -80,8 +81,10 @@
             return
         vm.is_down = True
         span = self._world.history.disturb("stop_vm", vm.name, is_planned=True)
+        was_serving = vm.is_serving()
         code = await vm.gateway.process.terminate(8.0)
-        self._world.history.stop_codes[f"{vm.name} at {span.began:.1f}"] = code
+        if was_serving or code != -signal.SIGTERM:
+            self._world.history.stop_codes[f"{vm.name} at {span.began:.1f}"] = code
         await self._world.restart(vm)
         span.ended = self._now()
 
--- a/tests/harness/gateway_soak/world.py
+++ b/tests/harness/gateway_soak/world.py
@@ -55,6 +55,15 @@
     is_down: bool = False
     ready_misses: int = 0
 
+    def is_serving(self) -> bool:
+        """Whether the running process has said that it has started.
+
+        Before, not even the interpreter may be there to take a signal.
+        """
+        process = self.gateway.process
+        starts = process.events(101)
+        return bool(starts) and starts[-1]["logged_at"] >= process.started_at
+
     @property
     def in_rotation(self) -> bool:
         """Whether the balancer sends new connections here."""
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 import struct
+from pathlib import Path
 
 import aiohttp
 import pytest
@@ -514,6 +515,15 @@
     assert await gateway.process.wait_or_kill() == 0
 
 
+async def test_a_stop_during_the_start_ends_in_order(world):
+    await world.start()
+    starting = world.add_gateway(world.store.address)
+    await starting.process.start()
+    mapped = Path(f"/proc/{starting.process.pid}/maps")
+    await eventually(lambda: "aiohttp" in mapped.read_text(), 5.0)
+    assert await starting.process.terminate() == 0
+
+
 async def test_sighup_and_a_changed_file_leave_the_process_serving(world):
     gateway = await world.start()
     gateway.settings_path.write_text("{ not json")
