--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -15,6 +15,7 @@
 from dotterelpitch.gateway.forwarding import Forwarder
 from dotterelpitch.gateway.ingress import Ingress
 from dotterelpitch.gateway.link import LinkTable
+from dotterelpitch.gateway.listeners import Listeners
 from dotterelpitch.gateway.metrics import GatewayMetrics
 from dotterelpitch.gateway.peers import Peers
 from dotterelpitch.gateway.place import Place
@@ -41,12 +42,6 @@
 LINGER_SECONDS = 2.8
 # What is left of the grace time when the last requests are cut.
 STOP_MARGIN_SECONDS = 0.6
-# aiohttp's own limit on idle connections lies above those of any config, which
-# the sweep enforces.
-IDLE_SECONDS = 3600.0
-MAX_LINE_BYTES = 32 * 1024
-BACKLOG = 1024
-METRICS_PATH = "/metrics"
 
 
 class Gateway:
@@ -105,19 +100,13 @@
         """Serve until SIGTERM, then finish what is open."""
         self._listen_to_signals()
         self.metrics.start()
-        callers = web.Server(
-            self.ingress.handle,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=IDLE_SECONDS,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
+        listeners = Listeners.create(
+            self.ingress.handle, self._is_ready, self.metrics.render
+        )
+        metrics_address = f"{self._vm.ip}:{self._settings.metrics_port}"
+        await listeners.open(
+            self._vm.caller_listen, self._vm.ready_listen, metrics_address
         )
-        listeners = [
-            await _listen(callers, self._vm.caller_listen),
-            await _listen(web.Server(self._answer_ready), self._vm.ready_listen),
-        ]
-        await self._listen_for_metrics(listeners)
         inner = InnerServer(self._identity, self.handlers)
         await inner.start(self._vm.peer_listen)
         async with aiohttp.ClientSession() as session:
@@ -128,15 +117,14 @@
             tasks = [
                 asyncio.create_task(feed.run()),
                 asyncio.create_task(self._peers.run()),
-                asyncio.create_task(self._sweep(callers)),
+                asyncio.create_task(self._sweep(listeners.callers)),
             ]
             log_event(Event.PROCESS_STARTED, vm=self._vm.vm_name, role="gateway")
             await self._stop.wait()
-            await self._finish(callers, listeners)
+            await self._finish(listeners)
             for task in tasks:
                 task.cancel()
-        for listener in listeners:
-            listener.close()
+        listeners.close()
         await inner.close()
         self.pool.close()
         log_event(Event.PROCESS_STOPPED, vm=self._vm.vm_name, role="gateway")
@@ -179,9 +167,7 @@
         address = self._settings.peer_address or vm.peer_listen
         return FleetVm(vm.vm_name, vm.failure_domain, address, vm.link_mbps)
 
-    async def _finish(
-        self, callers: web.Server, listeners: list[asyncio.Server]
-    ) -> None:
+    async def _finish(self, listeners: Listeners) -> None:
         """Let callers notice, then let the requests end within the grace time."""
         log_event(
             Event.PROCESS_STOPPING,
@@ -192,30 +178,16 @@
         grace_s = self._vm.promises.stop_grace_s - STOP_MARGIN_SECONDS
         linger_s = min(LINGER_SECONDS, grace_s / 2)
         await asyncio.sleep(linger_s)
-        listeners[0].close()
-        self.ingress.connections.close_all(callers.connections)
+        listeners.close_callers()
+        self.ingress.connections.close_all(listeners.callers.connections)
         try:
             async with asyncio.timeout(grace_s - linger_s):
                 await self.ingress.work.wait_idle()
         except TimeoutError:
             log_event(Event.STOP_CUT, requests=self.ingress.work.names())
 
-    async def _listen_for_metrics(self, listeners: list[asyncio.Server]) -> None:
-        """Serve metrics; a taken port costs the metrics and nothing else."""
-        address = f"{self._vm.ip}:{self._settings.metrics_port}"
-        try:
-            listeners.append(await _listen(web.Server(self._answer_metrics), address))
-        except OSError as error:
-            log_event(Event.METRICS_UNSERVED, address=address, reason=str(error))
-
-    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
-        if request.path != METRICS_PATH:
-            return web.Response(status=404)
-        return web.Response(text=self.metrics.render())
-
-    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
-        is_ready = self.state.config is not None and not self._stop.is_set()
-        return web.Response(status=200 if is_ready else 503)
+    def _is_ready(self) -> bool:
+        return self.state.config is not None and not self._stop.is_set()
 
     async def _sweep(self, callers: web.Server) -> None:
         while True:
@@ -245,9 +217,3 @@
         )
         if self._store is not None:
             self._store.set_address(vm.store_address)
-
-
-async def _listen(server: web.Server, address: str) -> asyncio.Server:
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(server, host, int(port), backlog=BACKLOG)
--- /dev/null
+++ b/dotterelpitch/gateway/listeners.py
@@ -0,0 +1,82 @@
+"""The addresses that a gateway listens on for HTTP: callers, balancer, metrics."""
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+from attrs import define, field
+
+from dotterelpitch.telemetry.events import Event, log_event
+
+# aiohttp's own limit on idle connections lies above those of any config, which
+# the gateway enforces by itself.
+IDLE_SECONDS = 3600.0
+MAX_LINE_BYTES = 32 * 1024
+BACKLOG = 1024
+METRICS_PATH = "/metrics"
+
+
+@define
+class Listeners:
+    """Opens the addresses and closes them; ``callers`` holds the connections."""
+
+    callers: web.Server
+    _is_ready: Callable[[], bool]
+    _render_metrics: Callable[[], str]
+    _callers_listener: asyncio.Server | None = field(default=None, init=False)
+    _others: list[asyncio.Server] = field(factory=list, init=False)
+
+    @classmethod
+    def create(
+        cls,
+        handle: Callable,
+        is_ready: Callable[[], bool],
+        render_metrics: Callable[[], str],
+    ) -> "Listeners":
+        """Return listeners whose callers' requests go to ``handle``."""
+        callers = web.Server(
+            handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_SECONDS,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+        return cls(callers, is_ready, render_metrics)
+
+    async def open(self, callers: str, ready: str, metrics: str) -> None:
+        """Listen on three addresses (``IP:port``).
+
+        A taken metrics address costs the metrics and nothing else.
+        """
+        self._callers_listener = await _listen(self.callers, callers)
+        self._others.append(await _listen(web.Server(self._answer_ready), ready))
+        try:
+            server = await _listen(web.Server(self._answer_metrics), metrics)
+        except OSError as error:
+            log_event(Event.METRICS_UNSERVED, address=metrics, reason=str(error))
+            return
+        self._others.append(server)
+
+    def close_callers(self) -> None:
+        """Take no more connections of callers."""
+        self._callers_listener.close()
+
+    def close(self) -> None:
+        """Close all addresses."""
+        for listener in (self._callers_listener, *self._others):
+            listener.close()
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self._is_ready() else 503)
+
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        if request.path != METRICS_PATH:
+            return web.Response(status=404)
+        return web.Response(text=self._render_metrics())
+
+
+async def _listen(server: web.Server, address: str) -> asyncio.Server:
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(server, host, int(port), backlog=BACKLOG)
