Ignore engines of an answer that newer records have overtaken

Its first list of the store, 700 kB on a link of 10 Mbit/s, takes a second, and the VM takes records from a peer meanwhile. The list then put the engine back as it was before, while the revision stayed at the peer's newer one, so the change never came again. Ruled out: a late reader (the peer's records were 12 ms old), the drain time of the settings. Lists and watches from before the known revision now bring at most a newer config; the tests fail without the change.

--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -49,7 +49,14 @@
     def take_list(
         self, answer: StoreAnswer, may_be_incomplete: bool, age_s: float = 0.0
     ) -> None:
-        """Take in a full list of records, as it was ``age_s`` ago."""
+        """Take in a full list of records, as it was ``age_s`` ago.
+
+        One from before what is known already brings at most a newer config: its
+        engines would undo what has changed since.
+        """
+        if answer.revision < self.revision:
+            self._ignore(answer)
+            return
         engines = []
         for record in answer.records:
             if record.key == CONFIG_KEY:
@@ -74,7 +81,13 @@
             self._take_config(record)
 
     def take_changes(self, answer: StoreAnswer, age_s: float = 0.0) -> None:
-        """Take in the changes of one watch, as it was ``age_s`` ago."""
+        """Take in the changes of one watch, as it was ``age_s`` ago.
+
+        Those from before what is known already bring at most a newer config.
+        """
+        if answer.revision < self.revision:
+            self._ignore(answer)
+            return
         configs = [r for r in answer.records if r.key == CONFIG_KEY]
         # Of several configs the last readable one counts: each is large.
         any(self._take_config(record) for record in reversed(configs))
@@ -86,6 +99,12 @@
         self.change_log.add(answer.revision, keys)
         self.confirm(answer.revision, age_s)
 
+    def _ignore(self, answer: StoreAnswer) -> None:
+        self.take_configs(r for r in answer.records if r.key == CONFIG_KEY)
+        log_event(
+            Event.RECORDS_OLDER_IGNORED, offered=answer.revision, held=self.revision
+        )
+
     def expire(self) -> None:
         """Drop the engines that did not come back after the store did."""
         for engine_id in self.directory.expire():
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -52,6 +52,7 @@
     RECORDS_FROM_PEER = (218, logging.INFO, "a peer's newer records are in use")
     STORE_READER = (219, logging.INFO, "this VM begins or ends to read the store")
     FETCH_FAILED = (220, logging.WARNING, "a peer's records could not be had")
+    RECORDS_OLDER_IGNORED = (221, logging.INFO, "records came after newer ones")
     VM_LIST_CHANGED = (301, logging.INFO, "a VM list revision is in use")
     VM_LIST_OLDER_IGNORED = (302, logging.WARNING, "an older VM list was offered")
     VM_SUSPECTED = (303, logging.WARNING, "a listed VM can't be reached")
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -105,6 +105,22 @@
     assert usable_ids(state) == ["e2"]
 
 
+@pytest.mark.parametrize("is_list", [True, False])
+@pytest.mark.parametrize(("revision", "usable"), [(14, ["e2"]), (16, ["e1", "e2"])])
+def test_an_answer_that_newer_records_have_overtaken_undoes_nothing(
+    state, is_list, revision, usable
+):
+    leaving = engine_record("e1", state="draining")
+    state.take_changes(StoreAnswer((leaving,), 15))
+    overtaken = (config_record(6), engine_record("e1"), engine_record("e2"))
+    if is_list:
+        state.take_list(StoreAnswer(overtaken, revision), may_be_incomplete=False)
+    else:
+        state.take_changes(StoreAnswer(overtaken, revision))
+    assert usable_ids(state) == usable
+    assert state.config.version == 6
+
+
 def test_an_engine_missing_from_a_full_list_is_gone_at_once(state):
     state.take_list(StoreAnswer((engine_record("e2"),), 11), may_be_incomplete=False)
     assert usable_ids(state) == ["e2"]
