Start a background task again after an error, and log it

Found by reading: an error of our own in the task of the store, of the links, or of one dialled peer ended that task in silence, and the process went on with ever older beliefs.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from functools import partial
 
 import aiohttp
 from aiohttp import web
@@ -9,6 +10,7 @@
 from dotterelpitch.clock import SteadyClock
 from dotterelpitch.gateway.answer_watch import log_move
 from dotterelpitch.gateway.attempt import Attempts
+from dotterelpitch.gateway.background import keep_running
 from dotterelpitch.gateway.body_memory import BodyMemory
 from dotterelpitch.gateway.digests import Digests
 from dotterelpitch.gateway.engine_beliefs import EngineBeliefs
@@ -124,9 +126,11 @@
                 self.state, self._store, self._readers, self._settings.watch_seconds
             )
             tasks = [
-                asyncio.create_task(feed.run()),
-                asyncio.create_task(self._peers.run()),
-                asyncio.create_task(self._sweep(listeners.callers)),
+                asyncio.create_task(keep_running("store", feed.run)),
+                asyncio.create_task(keep_running("peers", self._peers.run)),
+                asyncio.create_task(
+                    keep_running("sweep", partial(self._sweep, listeners.callers))
+                ),
             ]
             log_event(Event.PROCESS_STARTED, vm=self._vm.vm_name, role="gateway")
             await self._stop.wait()
--- a/dotterelpitch/gateway/peers.py
+++ b/dotterelpitch/gateway/peers.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import random
+from functools import partial
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import PeerError, ProtocolError
+from dotterelpitch.gateway.background import keep_running
 from dotterelpitch.gateway.digests import Digests
 from dotterelpitch.gateway.fleet_map import FleetMap
 from dotterelpitch.gateway.link import Link, LinkTable
@@ -95,6 +97,7 @@
         finally:
             for task in self._task_by_address.values():
                 task.cancel()
+            self._task_by_address.clear()
 
     def _take_place(self) -> None:
         self._fleet.forget_old()
@@ -111,7 +114,8 @@
             if address not in self._task_by_address and self._place.should_dial(
                 address
             ):
-                task = asyncio.create_task(self._follow(address))
+                follow = partial(self._follow, address)
+                task = asyncio.create_task(keep_running(f"link {address}", follow))
                 self._task_by_address[address] = task
         for address in list(self._task_by_address):
             if not (address in wanted or self._place.is_in_use(address)):
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -31,6 +31,7 @@
     SETTINGS_KEPT = (105, logging.ERROR, "a bad settings file leaves the old in force")
     METRICS_UNSERVED = (107, logging.WARNING, "the metrics address can't be used")
     LIBRARY_LOGGED = (108, logging.WARNING, "a library has logged a message")
+    TASK_BROKE = (109, logging.ERROR, "a background task met an error and starts anew")
     LINES_DROPPED = (106, logging.WARNING, "log lines were left out")
     DOCUMENT_IN_FORCE = (201, logging.INFO, "a document revision is in force")
     DOCUMENT_REFUSED = (202, logging.ERROR, "a document is invalid and not used")
