--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,27 @@
+"""When a refused caller is told to come back."""
+
+import pytest
+
+from dotterelpitch.gateway.refusals import (
+    MAX_RETRY_SECONDS,
+    MIN_RETRY_SECONDS,
+    choose_retry_after,
+)
+
+ROUNDS = 200
+
+
+@pytest.mark.parametrize(
+    ("left_s", "latest"),
+    [
+        (12.0, MAX_RETRY_SECONDS),
+        (1.5, 0.45),
+        (0.01, MIN_RETRY_SECONDS),
+    ],
+)
+def test_callers_return_spread_over_the_time_that_suits_their_deadline(left_s, latest):
+    times = [choose_retry_after(left_s) for _ in range(ROUNDS)]
+    assert MIN_RETRY_SECONDS <= min(times)
+    assert max(times) <= latest + 1e-9
+    if latest > MIN_RETRY_SECONDS:
+        assert min(times) < 0.5 * latest < max(times)
