--- a/dotterelpitch/agent/settings.py
+++ b/dotterelpitch/agent/settings.py
@@ -5,23 +5,20 @@
 from dotterelpitch.settings import (
     check_address,
     check_addresses,
-    check_log_level,
     check_optional_address,
     check_positive,
     setting,
 )
+from dotterelpitch.vm_process_settings import VmProcessSettings
 
 
-@attrs.frozen
-class AgentSettings:
+@attrs.frozen(kw_only=True)
+class AgentSettings(VmProcessSettings):
     """What an agent must be told; everything else it learns."""
 
-    vm_name: str = setting("name of this VM in the platform's list")
-    failure_domain: str = setting("failure domain of this VM")
     listen: str = setting("IP:port for the inner protocol", check=check_address)
     platform: str = setting("IP:port of the platform's service", check=check_address)
     services: tuple[str, ...] = setting("services whose documents to read, by comma")
-    cluster_key: str = setting("shared key of all processes of the fleet", secret=True)
     seeds: tuple[str, ...] = setting(
         "agents (IP:port, by comma) to ask at the start when the platform is down",
         default=(),
@@ -53,6 +50,3 @@
         default="",
         check=check_optional_address,
     )
-    log_level: str = setting(
-        "lowest level of logged events", default="INFO", check=check_log_level
-    )
--- a/dotterelpitch/router/settings.py
+++ b/dotterelpitch/router/settings.py
@@ -4,23 +4,20 @@
 
 from dotterelpitch.settings import (
     check_address,
-    check_log_level,
     check_positive,
     contradiction,
     setting,
 )
+from dotterelpitch.vm_process_settings import VmProcessSettings
 
 
-@attrs.frozen
-class RouterSettings:
+@attrs.frozen(kw_only=True)
+class RouterSettings(VmProcessSettings):
     """What a router must be told; everything else its agent tells it."""
 
-    vm_name: str = setting("name of this VM in the platform's list")
-    failure_domain: str = setting("failure domain of this VM")
     inner_listen: str = setting("IP:port for the inner protocol", check=check_address)
     http_listen: str = setting("IP:port for callers", check=check_address)
     agent: str = setting("IP:port of this VM's agent", check=check_address)
-    cluster_key: str = setting("shared key of all processes of the fleet", secret=True)
     max_body_bytes: int = setting(
         "largest request body", default=2 * 1024 * 1024, check=check_positive
     )
@@ -57,9 +54,6 @@
         default=3.0,
         check=check_positive,
     )
-    log_level: str = setting(
-        "lowest level of logged events", default="INFO", check=check_log_level
-    )
 
     def validate(self) -> None:
         """Raise SettingsError when two listeners would take one address."""
