--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -27,8 +27,10 @@
 
 # An engine that can't be connected to costs a few milliseconds, so more are tried.
 MAX_UNSENT_TRIES = 4
-# Time that an attempt needs to be of any use.
+# An attempt with less time than this, or than this part of its objective, is of no
+# use: not even an idle engine answers so soon.
 LEAST_ATTEMPT_SECONDS = 0.03
+LEAST_ATTEMPT_OBJECTIVES = 0.1
 # Another engine is asked after this many objectives. A plain answer from it can
 # still be in time; a prompt that is read once more costs more than the wait.
 PATIENCE_OBJECTIVES = {CallKind.SAFE: 0.65, CallKind.STREAM: 3.0, CallKind.UNSAFE: 3.0}
@@ -100,7 +102,7 @@
 
     def _reason_to_refuse(self, call: Call) -> str:
         """Return why a call isn't sent at all, or nothing."""
-        if call.deadline - self._clock.monotonic() < LEAST_ATTEMPT_SECONDS:
+        if not self._has_time(call):
             return "its deadline is too near"
         if self._beliefs.is_banned(call):
             log_event(Event.REQUEST_BANNED, request=call.request_id)
@@ -109,6 +111,12 @@
             return "the engines have more work than they can do in time"
         return ""
 
+    def _has_time(self, call: Call) -> bool:
+        """Whether one more attempt could still be answered."""
+        least_s = LEAST_ATTEMPT_OBJECTIVES * call.route.objective_s
+        left_s = call.deadline - self._clock.monotonic()
+        return left_s >= max(LEAST_ATTEMPT_SECONDS, least_s)
+
     def _choose(self, call: Call, progress: Progress) -> Choice | None:
         """Return an engine that hasn't had the call, or one that may fail by chance."""
         may_probe = call.route.may_repeat or random.random() < UNSAFE_PROBE_SHARE
@@ -179,8 +187,7 @@
 
     def _may_try_again(self, call: Call, progress: Progress) -> bool:
         """Return whether another attempt follows the last one, and pay for it."""
-        left_s = call.deadline - self._clock.monotonic()
-        if left_s < LEAST_ATTEMPT_SECONDS:
+        if not self._has_time(call):
             return False
         if progress.unsent >= MAX_UNSENT_TRIES:
             return False
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -332,7 +332,7 @@
     assert found.startswith(b"HTTP/1.1 200 ")
 
 
-@pytest.mark.parametrize("budget", ["0", "-5", "10"])
+@pytest.mark.parametrize("budget", ["0", "-5", "10", "45"])
 async def test_a_request_without_time_is_refused_and_never_sent(world, budget):
     gateway = await world.start()
     data = request_bytes("/unsafe/1", headers=(f"Deadline-Ms: {budget}",))
