Try lost relays every 4 s, and seeds that are gone no more often

Found by reading: a relay dialled a seed that is gone for good every second, for ever, and parts of a fleet that a cut had separated were counted on again only after up to 12 s, so that they joined up to 7 s after the cut healed. Whether a VM is counted on (3 s, doubling to 12 s) and when it is dialled again (4 s) are two questions now.

--- a/dotterelpitch/gateway/fleet_map.py
+++ b/dotterelpitch/gateway/fleet_map.py
@@ -13,10 +13,12 @@
 
 # The list of a peer counts for this long after it was last sent.
 LISTING_SECONDS = 15.0
-# A VM that could not be dialled, or fell silent, is passed over for this long,
+# A VM that could not be dialled, or fell silent, isn't counted on for this long,
 # which doubles each time it happens again.
 UNREACHABLE_SECONDS = 3.0
 MAX_UNREACHABLE_SECONDS = 12.0
+# It is dialled again sooner, since it may have come back.
+RETRY_SECONDS = 4.0
 
 
 @frozen
@@ -29,6 +31,7 @@
 class _Silence:
     until: float
     seconds: float
+    retry_at: float
 
 
 @define
@@ -68,8 +71,9 @@
         seconds = UNREACHABLE_SECONDS
         if last is not None:
             seconds = min(MAX_UNREACHABLE_SECONDS, 2 * last.seconds)
-        until = self._clock.monotonic() + seconds
-        self._silence_by_address[address] = _Silence(until, seconds)
+        now = self._clock.monotonic()
+        silence = _Silence(now + seconds, seconds, now + RETRY_SECONDS)
+        self._silence_by_address[address] = silence
 
     def linked(self) -> list[FleetVm]:
         """Return the VMs that links are open to."""
@@ -90,9 +94,18 @@
 
     def reachable(self) -> list[FleetVm]:
         """Return the known VMs without those that lately gave no answer."""
-        now = self._clock.monotonic()
-        silent = {a for a, s in self._silence_by_address.items() if s.until >= now}
-        return [vm for vm in self.known().values() if vm.address not in silent]
+        vms = self.known().values()
+        return [vm for vm in vms if not self.is_unreachable(vm.address)]
+
+    def is_unreachable(self, address: str) -> bool:
+        """Whether a VM gave no answer so lately that it isn't counted on."""
+        silence = self._silence_by_address.get(address)
+        return silence is not None and silence.until >= self._clock.monotonic()
+
+    def may_retry(self, address: str) -> bool:
+        """Whether enough time has passed to dial a VM again that gave no answer."""
+        silence = self._silence_by_address.get(address)
+        return silence is None or silence.retry_at < self._clock.monotonic()
 
     def forget_old(self) -> None:
         """Drop the marks of VMs that nobody has tried to reach for long."""
--- a/dotterelpitch/gateway/place.py
+++ b/dotterelpitch/gateway/place.py
@@ -62,7 +62,7 @@
             others = others[:1]
         wanted = [vm.address for vm in others]
         if self.is_relay:
-            wanted += self._lost_seeds()
+            wanted += self._lost_addresses()
         now = self._clock.monotonic()
         since = self._wanted_since_by_address
         self._wanted_since_by_address = {a: since.get(a, now) for a in wanted}
@@ -109,7 +109,18 @@
     def _ordered(self) -> list[FleetVm]:
         return order_relays(self._fleet.own, self._relay_by_name.values())
 
-    def _lost_seeds(self) -> list[str]:
-        """Return the seeds that nobody lists: they may know another part."""
-        known = {vm.address for vm in self._fleet.known().values()}
-        return [seed for seed in self.seeds if seed not in known]
+    def _lost_addresses(self) -> list[str]:
+        """Return the seeds and relays that may belong to a lost part of the fleet.
+
+        A VM without any link tries its seeds all the time; one that has links
+        tries what gave no answer now and then.
+        """
+        known = self._fleet.known()
+        relays = choose_relays(known.values(), self.mesh_vms).values()
+        counted_on = {*self._relay_by_name, self._fleet.own.name}
+        lost = [vm.address for vm in relays if vm.name not in counted_on]
+        known_addresses = {vm.address for vm in known.values()}
+        seeds = [seed for seed in self.seeds if seed not in known_addresses]
+        if not self._links.peers():
+            return seeds + lost
+        return [address for address in seeds + lost if self._fleet.may_retry(address)]
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -9,7 +9,11 @@
 
 from dotterelpitch.clock import ManualClock
 from dotterelpitch.gateway.digests import Digests
-from dotterelpitch.gateway.fleet_map import LISTING_SECONDS, FleetMap
+from dotterelpitch.gateway.fleet_map import (
+    LISTING_SECONDS,
+    RETRY_SECONDS,
+    FleetMap,
+)
 from dotterelpitch.gateway.link import Link, LinkTable
 from dotterelpitch.gateway.place import Place
 from dotterelpitch.gateway.reader_choice import ReaderChoice
@@ -103,6 +107,8 @@
     member_by_address: dict
     links: dict = field(factory=dict)
     dead: set = field(factory=set)
+    cut: set = field(factory=set)
+    dials_in_vain: list = field(factory=list)
 
     @property
     def alive(self):
@@ -126,7 +132,8 @@
         for other in wanted:
             if not member.place.should_dial(other):
                 continue
-            if other in self.dead:
+            if self._is_silent(address, other):
+                self.dials_in_vain.append(address)
                 member.fleet.unreachable(other)
                 continue
             self._open(address, other)
@@ -135,6 +142,10 @@
             if dialler == address and not is_kept:
                 self._close(dialler, listener)
 
+    def _is_silent(self, one, other):
+        is_across_the_cut = (one in self.cut) != (other in self.cut)
+        return is_across_the_cut or bool({one, other} & self.dead)
+
     def _open(self, dialler, listener):
         first, second = (
             self.member_by_address[dialler],
@@ -155,7 +166,7 @@
                 member.loads.forget(link.peer.name)
 
     def _exchange(self, dialler, listener, pair):
-        if {dialler, listener} & self.dead:
+        if self._is_silent(dialler, listener):
             for address, other in ((dialler, listener), (listener, dialler)):
                 self.member_by_address[address].fleet.unreachable(other)
             self._close(dialler, listener)
@@ -215,6 +226,20 @@
     assert set(loads_seen(fleet).values()) == {58 - lost}
 
 
+def test_two_parts_of_a_fleet_join_soon_after_a_cut():
+    fleet = make_fleet(58)
+    for member in fleet.alive.values():
+        member.loads.started("e1")
+    fleet.run(5.0)
+    cut_off = {a for a, m in fleet.alive.items() if m.vm.failure_domain == "a"}
+    fleet.cut = cut_off
+    fleet.run(6.0)
+    assert set(loads_seen(fleet).values()) == {len(cut_off), 58 - len(cut_off)}
+    fleet.cut = set()
+    fleet.run(RETRY_SECONDS + 2.0)
+    assert set(loads_seen(fleet).values()) == {58}
+
+
 def test_a_fleet_that_lost_all_its_seeds_and_relays_finds_itself_again():
     fleet = make_fleet(30, wide=3)
     fleet.run(5.0)
@@ -224,6 +249,15 @@
     assert sizes == {24}
 
 
+def test_a_seed_that_is_gone_for_good_is_dialled_seldom():
+    fleet = make_fleet(9)
+    fleet.dead.add("10.0.0.0:1")
+    fleet.run(30.0)
+    fleet.dials_in_vain.clear()
+    fleet.run(60.0)
+    assert 0 < len(fleet.dials_in_vain) <= 8 * 60 / RETRY_SECONDS
+
+
 def test_crashes_reach_every_vm_and_are_sent_once_on_a_link():
     fleet = make_fleet(58)
     fleet.run(5.0)
