--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -206,9 +206,7 @@
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
             limits = self.state.config.limits if self.state.config else CallerLimits()
-            self.ingress.connections.close_idle(
-                callers.connections, limits.idle_timeout_s
-            )
+            self.ingress.connections.close_idle(callers.connections, limits)
             self.pool.sweep()
             self._reload.check()
             self.beliefs.retain(self.state.directory.remembered_ids())
--- a/dotterelpitch/gateway/caller_connections.py
+++ b/dotterelpitch/gateway/caller_connections.py
@@ -7,39 +7,49 @@
 from attrs import define, field
 
 from dotterelpitch.clock import Clock
+from dotterelpitch.routing.route_table import CallerLimits
 
 
 @define
 class CallerConnections:
     """Closes connections on which no request has been under way for long.
 
-    A connection that sends the head of its request too slowly counts as idle:
-    its request begins once the head is whole.
+    A request begins once its head is whole. So a new connection has the time for
+    a head, and one that has had a request the time that it may be idle.
     """
 
     _clock: Clock
     _busy: set[RequestHandler] = field(factory=set)
+    _used: set[RequestHandler] = field(factory=set)
     _idle_since: dict[RequestHandler, float] = field(factory=dict)
 
     @contextlib.contextmanager
     def request(self, connection: RequestHandler) -> Iterator[None]:
         """Count a connection as busy while a request is answered on it."""
         self._busy.add(connection)
+        self._used.add(connection)
         try:
             yield
         finally:
             self._busy.discard(connection)
             self._idle_since[connection] = self._clock.monotonic()
 
-    def close_idle(self, open_now: Iterable[RequestHandler], limit_s: float) -> int:
-        """Close those that have been idle for ``limit_s``; return how many."""
+    def close_idle(
+        self, open_now: Iterable[RequestHandler], limits: CallerLimits
+    ) -> int:
+        """Close those that have been idle for too long; return how many."""
         now = self._clock.monotonic()
+        open_now = set(open_now)
+        self._used &= open_now
         self._idle_since = {
             connection: self._idle_since.get(connection, now)
-            for connection in open_now
-            if connection not in self._busy
+            for connection in open_now - self._busy
         }
-        expired = [c for c, since in self._idle_since.items() if now - since > limit_s]
+        expired = [
+            connection
+            for connection, since in self._idle_since.items()
+            if now - since > self._limit(connection, limits)
+        ]
         for connection in expired:
             connection.force_close()
         return len(expired)
@@ -54,3 +64,8 @@
                 connection.close()
             else:
                 connection.force_close()
+
+    def _limit(self, connection: RequestHandler, limits: CallerLimits) -> float:
+        if connection in self._used:
+            return limits.idle_timeout_s
+        return limits.header_timeout_s
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -311,25 +311,42 @@
     assert len(world.exchanges()) == (status == 200)
 
 
-@pytest.mark.parametrize("start", [b"", b"GET /safe/1 HTTP/1.1\r\nHost: "])
-async def test_a_connection_without_a_whole_request_is_closed_in_time(world, start):
+HALF_A_HEAD = b"GET /safe/1 HTTP/1.1\r\nHost: "
+WHOLE = request_bytes("/safe/1", close=False)
+
+
+@pytest.mark.parametrize(
+    ("limits", "sent", "is_closed"),
+    [
+        ({"idle_timeout_ms": 500}, WHOLE, True),
+        ({"idle_timeout_ms": 500}, WHOLE + HALF_A_HEAD, True),
+        ({"header_timeout_ms": 500}, b"", True),
+        ({"header_timeout_ms": 500}, HALF_A_HEAD, True),
+        ({"header_timeout_ms": 500}, WHOLE, False),
+        ({"idle_timeout_ms": 500, "header_timeout_ms": 9000}, HALF_A_HEAD, False),
+    ],
+)
+async def test_a_connection_without_a_whole_request_is_closed_in_time(
+    world, limits, sent, is_closed
+):
     gateway = await world.start()
     limited = config(2)
-    limited["limits"]["idle_timeout_ms"] = 500
+    limited["limits"] |= limits
     world.store.put("op/config", limited)
     await eventually(
         lambda: any(e["version"] == 2 for e in gateway.process.events(211)), 5.0
     )
-    whole = request_bytes("/safe/1", close=False)
     host, _, port = gateway.callers.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write(whole + start)
-    async with asyncio.timeout(4.0):
-        found = await reader.read()
-        while data := await reader.read():
-            found += data
+    writer.write(sent)
+    try:
+        async with asyncio.timeout(3.5):
+            await reader.read(-1)
+    except TimeoutError:
+        assert not is_closed
+    else:
+        assert is_closed
     writer.close()
-    assert found.startswith(b"HTTP/1.1 200 ")
 
 
 @pytest.mark.parametrize("budget", ["0", "-5", "10", "45"])
