Give peers no engine that the last full list of the store lacked

Cause, by reading and by test: a VM whose store was away keeps the engines that the first list then lacks for 2 s, since they may register again, and takes over the list's newest revision. A peer that asked it for records in these 2 s, and was too far behind for single changes, got those engines as listed, with the newest revision, and so kept them for good. Engines that a plain full list had removed stayed in the records to give away too. Now neither is given; a batch says when it may be incomplete and the receiver then keeps what it has for the same 2 s.

--- a/dotterelpitch/gateway/record_exchange.py
+++ b/dotterelpitch/gateway/record_exchange.py
@@ -78,10 +78,11 @@
     def make_batch(self, request: FetchRecords) -> RecordBatch:
         """Return what a peer lacks, without the config unless it is newer."""
         held = self._state.record_by_key
+        missing = self._state.missing_keys()
         keys = self._state.change_log.keys_after(request.store_revision)
         is_full = keys is None
         if is_full:
-            keys = list(held)
+            keys = [key for key in held if key not in missing]
         config = self._state.config
         keys = [key for key in keys if key != CONFIG_KEY]
         if config is not None and config.version > request.config_version:
@@ -90,6 +91,7 @@
             store_revision=self._state.revision,
             age_ms=self._state.age_ms,
             is_full=is_full,
+            may_be_incomplete=is_full and bool(missing),
             records=[
                 StoredRecord(key, self._pack(key, held[key]))
                 for key in keys
@@ -108,7 +110,7 @@
         answer = StoreAnswer(tuple(records), batch.store_revision)
         age_s = batch.age_ms / 1000
         if batch.is_full:
-            self._state.take_list(answer, may_be_incomplete=False, age_s=age_s)
+            self._state.take_list(answer, batch.may_be_incomplete, age_s)
         else:
             self._state.take_changes(answer, age_s)
 
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -71,10 +71,16 @@
             self.directory.mark_settled()
         for engine_id in known - {engine.id for engine in engines}:
             action = "kept-for-now" if may_be_incomplete else "removed"
+            if not may_be_incomplete:
+                self.record_by_key.pop(ENGINE_PREFIX + engine_id, None)
             log_event(Event.ENGINE_MISSING, engine=engine_id, action=action)
         self.change_log.restart(answer.revision)
         self.confirm(answer.revision, age_s)
 
+    def missing_keys(self) -> set[str]:
+        """Return the keys of engines that are kept though the last list lacked them."""
+        return {ENGINE_PREFIX + i for i in self.directory.missing_ids()}
+
     def take_configs(self, records: Iterable[StoreRecord]) -> None:
         """Take in configs that a peer holds, whatever the rest of its list says."""
         for record in records:
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -100,11 +100,13 @@
     """What the sender knows, as of a revision of the store.
 
     Either all records (``is_full``) or the changes after the asked revision,
-    with the keys that were deleted.
+    with the keys that were deleted. ``may_be_incomplete`` says that engines may be
+    missing from all records only because the store has just come back.
     """
 
     store_revision: int
     age_ms: int
     is_full: bool
+    may_be_incomplete: bool
     records: list[StoredRecord] = field(factory=list)
     deleted: list[str] = field(factory=list)
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -111,6 +111,10 @@
             else:
                 self.remove(engine_id)
 
+    def missing_ids(self) -> set[str]:
+        """Return the engines that the last full list lacked and that may come back."""
+        return set(self._missing_since_by_id)
+
     def expire(self) -> list[str]:
         """Drop and return the engines that have been missing for too long."""
         oldest = self._clock.monotonic() - RETURN_SECONDS
