--- a/dotterelpitch/gateway/answer_watch.py
+++ b/dotterelpitch/gateway/answer_watch.py
@@ -43,4 +43,6 @@
 
 def log_move(move: LimitMove) -> None:
     """Log that the limit of a service has moved."""
-    log_event(Event.LIMIT_MOVED, **attrs.asdict(move))
+    values = attrs.asdict(move)
+    rounded = {n: round(v, 2) if isinstance(v, float) else v for n, v in values.items()}
+    log_event(Event.LIMIT_MOVED, **rounded)
--- a/dotterelpitch/gateway/digests.py
+++ b/dotterelpitch/gateway/digests.py
@@ -46,7 +46,7 @@
             config_version=config.version if config else 0,
             store_revision=self._state.revision,
             store_age_ms=self._state.age_ms,
-            count_by_engine=self._counts_for(link),
+            count_by_engine=self._loads_for(link),
             crashes=[
                 CrashReport(c.fingerprint, c.engine, c.engine_run, self._age_ms(c.at))
                 for c in crashes
@@ -64,7 +64,7 @@
         )
         if digest.store_revision == self._state.revision:
             self._state.confirm(digest.store_revision, store_age_s)
-        if self._counts(link):
+        if self._learns_load_on(link):
             self._loads.heard(peer.name, digest.count_by_engine)
         else:
             self._loads.forget(peer.name)
@@ -76,14 +76,14 @@
             [Cleared(c.fingerprint, self._instant(c.age_ms)) for c in digest.cleared],
         )
 
-    def _counts(self, link: Link) -> bool:
-        """Whether this VM learns the load at a peer from the peer itself."""
+    def _learns_load_on(self, link: Link) -> bool:
+        """Whether the counts that come on this link are known from no other one."""
         if self._place.is_relay:
             return link.leads_to_relay or link.relay == self._vm
         return link.peer.name == self._place.relay
 
-    def _counts_for(self, link: Link) -> dict[str, int]:
-        """Return the counts that a peer doesn't learn in another way."""
+    def _loads_for(self, link: Link) -> dict[str, int]:
+        """Return the requests by engine that a peer learns of on this link alone."""
         if not self._place.is_relay:
             is_relay_of_own = link.peer.name == self._place.relay
             return self._loads.own() if is_relay_of_own else {}
