Take in configs in one place; drop a method of the pool that nothing calls

Three ways chose a config out of records: one decoded each in turn, one the last readable one, a caller filtered the keys by itself. take_configs does it for all now: the last readable one. ConnectionPool's drop_engine had no caller, and with it goes the branch that only it could lead to. The short stack trace of a log line stood in the ingress and in the background tasks.

--- a/dotterelpitch/gateway/background.py
+++ b/dotterelpitch/gateway/background.py
@@ -1,15 +1,12 @@
 """Keeps the endless tasks of the process going."""
 
 import asyncio
-import traceback
 from collections.abc import Awaitable, Callable
 
-from dotterelpitch.telemetry.events import Event, log_event
+from dotterelpitch.telemetry.events import Event, log_event, short_trace
 
 # A task that breaks at once again must not take all of the processor.
 RESTART_SECONDS = 1.0
-# How much of a stack trace a log line holds.
-TRACE_FRAMES = 4
 
 
 async def keep_running(name: str, run: Callable[[], Awaitable[None]]) -> None:
@@ -22,6 +19,6 @@
             await run()
             return
         except Exception as error:
-            trace = traceback.format_exc(limit=-TRACE_FRAMES)
+            trace = short_trace()
             log_event(Event.TASK_BROKE, task=name, error=repr(error), trace=trace)
         await asyncio.sleep(RESTART_SECONDS)
--- a/dotterelpitch/gateway/ingress.py
+++ b/dotterelpitch/gateway/ingress.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import traceback
 from http import HTTPStatus
 
 import xxhash
@@ -25,7 +24,7 @@
     Route,
     RoutingConfig,
 )
-from dotterelpitch.telemetry.events import Event, log_event
+from dotterelpitch.telemetry.events import Event, log_event, short_trace
 
 # Callers that say no deadline get that of the route; this is the longest of all.
 MAX_BUDGET_SECONDS = 300.0
@@ -35,8 +34,6 @@
 BODY_RETRY_SECONDS = 0.5
 # What a header takes besides name and value: a colon, a space, a line end.
 HEADER_EXTRA_BYTES = 4
-# How much of a stack trace a log line holds.
-TRACE_FRAMES = 4
 
 
 class RefusedError(DotterelpitchError):
@@ -130,7 +127,7 @@
         self, error: Exception, request_id: str, answerer: AiohttpAnswerer
     ) -> None:
         """Log an error of the gateway's own; the request may have run."""
-        trace = traceback.format_exc(limit=-TRACE_FRAMES)
+        trace = short_trace()
         log_event(
             Event.REQUEST_BROKE, request=request_id, error=repr(error), trace=trace
         )
--- a/dotterelpitch/gateway/record_exchange.py
+++ b/dotterelpitch/gateway/record_exchange.py
@@ -104,7 +104,7 @@
         """Take in a peer's records; engines count only when they are newer."""
         records = [StoreRecord(r.key, _unpack(r)) for r in batch.records]
         if batch.store_revision <= self._state.revision:
-            self._state.take_configs(r for r in records if r.key == CONFIG_KEY)
+            self._state.take_configs(records)
             return
         records += [StoreRecord(key, None) for key in batch.deleted]
         answer = StoreAnswer(tuple(records), batch.store_revision)
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -1,7 +1,7 @@
 """What a gateway believes of the fleet: the config in force and the engines."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import PlatformError
@@ -57,11 +57,10 @@
         if answer.revision < self.revision:
             self._ignore(answer)
             return
+        self.take_configs(answer.records)
         engines = []
         for record in answer.records:
-            if record.key == CONFIG_KEY:
-                self._take_config(record)
-            elif record.key.startswith(ENGINE_PREFIX):
+            if record.key.startswith(ENGINE_PREFIX):
                 engine = self._decode_engine(record)
                 if engine is not None:
                     engines.append(engine)
@@ -81,10 +80,15 @@
         """Return the keys of engines that are kept though the last list lacked them."""
         return {ENGINE_PREFIX + i for i in self.directory.missing_ids()}
 
-    def take_configs(self, records: Iterable[StoreRecord]) -> None:
-        """Take in configs that a peer holds, whatever the rest of its list says."""
-        for record in records:
-            self._take_config(record)
+    def take_configs(self, records: Sequence[StoreRecord]) -> None:
+        """Take in the last readable config of some records, and nothing else of them.
+
+        The earlier ones are passed over: each is large, and its time is gone.
+        """
+        configs = [record for record in records if record.key == CONFIG_KEY]
+        for record in reversed(configs):
+            if self._take_config(record):
+                return
 
     def take_changes(self, answer: StoreAnswer, age_s: float = 0.0) -> None:
         """Take in the changes of one watch, as it was ``age_s`` ago.
@@ -94,9 +98,7 @@
         if answer.revision < self.revision:
             self._ignore(answer)
             return
-        configs = [r for r in answer.records if r.key == CONFIG_KEY]
-        # Of several configs the last readable one counts: each is large.
-        any(self._take_config(record) for record in reversed(configs))
+        self.take_configs(answer.records)
         newest_by_key = {record.key: record for record in answer.records}
         for record in newest_by_key.values():
             if record.key.startswith(ENGINE_PREFIX):
@@ -106,7 +108,7 @@
         self.confirm(answer.revision, age_s)
 
     def _ignore(self, answer: StoreAnswer) -> None:
-        self.take_configs(r for r in answer.records if r.key == CONFIG_KEY)
+        self.take_configs(answer.records)
         log_event(
             Event.RECORDS_OLDER_IGNORED, offered=answer.revision, held=self.revision
         )
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import sys
+import traceback
 from collections.abc import Callable
 from enum import Enum
 from typing import Any
@@ -15,6 +16,9 @@
 
 logger = logging.getLogger("dotterelpitch")
 
+# How much of a stack trace a log line holds.
+TRACE_FRAMES = 4
+
 
 class Event(Enum):
     """All events: number, level, and meaning.
@@ -163,6 +167,11 @@
     logger.log(event.level, "%s", _JsonLine(line), extra=extra)
 
 
+def short_trace() -> str:
+    """Return the innermost frames of the error that is being handled."""
+    return traceback.format_exc(limit=-TRACE_FRAMES)
+
+
 class LibraryHandler(logging.Handler):
     """Turns what libraries log into events, so that every line is one."""
 
--- a/dotterelpitch/upstream/pool.py
+++ b/dotterelpitch/upstream/pool.py
@@ -68,25 +68,11 @@
     def give_back(self, engine_id: str, connection: EngineConnection) -> None:
         """Keep a connection for the next request, if it is fit for one."""
         connection.finish(self._clock.monotonic())
-        connections = self._connections_by_engine.get(engine_id)
-        if connections is None:
-            connection.close()
-            return
+        connections = self._connections_by_engine[engine_id]
         connections.busy.discard(connection)
         if connection.is_reusable:
             connections.idle.append(connection)
 
-    def drop_engine(self, engine_id: str) -> None:
-        """Close the idle connections of an engine; the busy ones finish."""
-        connections = self._connections_by_engine.get(engine_id)
-        if connections is None:
-            return
-        for connection in connections.idle:
-            connection.close()
-        connections.idle.clear()
-        if not connections.busy:
-            del self._connections_by_engine[engine_id]
-
     def sweep(self) -> None:
         """Close the connections that have been idle for too long."""
         now = self._clock.monotonic()
