--- /dev/null
+++ b/tests/harness/crash_drill/drill.py
@@ -0,0 +1,276 @@
+"""Plays a request that crashes engines against real gateways, beside other calls."""
+
+import asyncio
+import random
+import time
+from pathlib import Path
+
+import aiohttp
+import attrs
+
+from tests.harness.crash_drill.engine import (
+    CRASH_BODY,
+    Arrival,
+    CrashableEngine,
+    Death,
+    Return,
+)
+from tests.harness.gateway_fleet import HOST, KEY, GatewayProcess, make_config
+from tests.harness.platform_store import PlatformStore
+from tests.harness.ports import free_address
+from tests.harness.waiting import pause
+
+# A request may reach engines without limit for this long after its third crash,
+# and this often afterwards (the platform's rule).
+STOP_SECONDS = 3.0
+MAX_CRASHES_BEFORE_STOP = 3
+MAX_LATE_ARRIVALS = 3
+# The platform removes an engine's record after three missed heartbeats.
+RECORD_TTL_SECONDS = 3.6
+DEADLINE_SECONDS = 1.5
+DRAIN_SECONDS = 2.0
+ROUTES = {
+    "safe": {"kind": "safe", "max_attempts": 2},
+    "unsafe": {"kind": "unsafe", "max_attempts": 1},
+}
+
+
+@attrs.frozen
+class DrillSettings:
+    """One setting of a drill.
+
+    ``domains`` are the failure domains over which gateways and engines are spread
+    in turn. ``crash_interval_s`` is the time between two requests with the content
+    that crashes engines, each at ``copies`` gateways at once; ``calls_per_s`` is the
+    rate of other calls over all gateways. Ended engines return after ``down_s``.
+    """
+
+    gateways: int = 4
+    engines: int = 6
+    domains: str = "abc"
+    death: Death = Death.REFUSING
+    returns: Return = Return.SAME_ID
+    down_s: float = 3.0
+    seconds: float = 14.0
+    crash_interval_s: float = 0.5
+    copies: int = 1
+    route: str = "safe"
+    calls_per_s: float = 20.0
+    mesh_vms: int = 16
+    seed: int = 1
+
+
+@attrs.define
+class CallRecord:
+    """A call of a caller and its status, 0 without a response."""
+
+    request_id: str
+    vm: str
+    crashes: bool
+    at: float
+    status: int = 0
+    ended: float = 0.0
+
+
+@attrs.define
+class DrillResult:
+    """What engines and callers recorded.
+
+    ``late_arrivals`` are those of the crashing content at engines later than
+    ``STOP_SECONDS`` after its third crash.
+    """
+
+    arrivals: list[Arrival]
+    calls: list[CallRecord]
+    logs: dict[str, str]
+    began: float
+
+    @property
+    def crash_arrivals(self) -> list[Arrival]:
+        """The arrivals of the content that crashes engines, in order of time."""
+        return [a for a in self.arrivals if a.crashed]
+
+    @property
+    def late_arrivals(self) -> list[Arrival]:
+        crashes = self.crash_arrivals
+        if len(crashes) < MAX_CRASHES_BEFORE_STOP:
+            return []
+        until = crashes[MAX_CRASHES_BEFORE_STOP - 1].at + STOP_SECONDS
+        return [a for a in crashes if a.at > until]
+
+    def unserved_calls(self, since_s: float) -> list[CallRecord]:
+        """Return the other calls sent ``since_s`` after the begin and not served."""
+        return [
+            call
+            for call in self.calls
+            if not call.crashes
+            and call.status != 200
+            and call.at >= self.began + since_s
+        ]
+
+    def summary(self) -> str:
+        """Return the counts on one line."""
+        others = [call for call in self.calls if not call.crashes]
+        served = sum(call.status == 200 for call in others)
+        return (
+            f"{len(self.crash_arrivals)} runs, {len(self.late_arrivals)} late; "
+            f"{served} of {len(others)} other calls served"
+        )
+
+
+class CrashDrill:
+    """Gateways, a store, and engines that a request content crashes."""
+
+    def __init__(self, folder: Path, settings: DrillSettings) -> None:
+        self.settings = settings
+        self.store = PlatformStore(page_size=500)
+        self.gateways: list[GatewayProcess] = []
+        self.engines: list[CrashableEngine] = []
+        self.calls: list[CallRecord] = []
+        self.arrivals: list[Arrival] = []
+        self._folder = folder
+        self._random = random.Random(settings.seed)
+        self._tasks: list[asyncio.Task] = []
+        self._call_tasks: set[asyncio.Task] = set()
+        self._session: aiohttp.ClientSession | None = None
+        self._run_count = 0
+
+    async def run(self) -> DrillResult:
+        """Play the drill; end all processes."""
+        began = time.monotonic()
+        try:
+            await self._start()
+            began = time.monotonic()
+            async with aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0)
+            ) as self._session:
+                senders = [self._send_crashing(began), self._send_others(began)]
+                await asyncio.gather(*senders)
+                await asyncio.gather(*self._call_tasks)
+        finally:
+            await self._stop()
+        logs = {g.process.name: g.process.log() for g in self.gateways}
+        return DrillResult(self.arrivals, self.calls, logs, began)
+
+    async def _start(self) -> None:
+        settings = self.settings
+        await self.store.start(free_address())
+        config = make_config(1, ROUTES)
+        config["services"][0]["health_path"] = "/health"
+        self.store.put("op/config", config)
+        for number in range(settings.engines):
+            domain = settings.domains[number % len(settings.domains)]
+            engine = CrashableEngine(
+                f"e{number + 1}", domain, settings.death, self.arrivals
+            )
+            await engine.start(free_address())
+            self.engines.append(engine)
+            self._register(engine)
+            self._tasks.append(asyncio.create_task(self._keep_engine(engine)))
+        for number in range(settings.gateways):
+            self._add_gateway(f"vm{number + 1}", number)
+        await asyncio.gather(*(g.process.start() for g in self.gateways))
+        await asyncio.gather(*(g.wait_ready() for g in self.gateways))
+
+    def _add_gateway(self, name: str, number: int) -> None:
+        seeds = [g.peer_address for g in self.gateways[:3]]
+        gateway = GatewayProcess(
+            name,
+            self._folder,
+            self.store.address,
+            seeds,
+            mesh_vms=self.settings.mesh_vms,
+        )
+        zone = self.settings.domains[number % len(self.settings.domains)]
+        gateway.write_settings(self.store.address, seeds, zone=zone)
+        self.gateways.append(gateway)
+
+    async def _stop(self) -> None:
+        for task in [*self._tasks, *self._call_tasks]:
+            task.cancel()
+        await asyncio.gather(*(g.process.kill() for g in self.gateways))
+        for engine in self.engines:
+            await engine.stop()
+        await self.store.stop()
+
+    def _register(self, engine: CrashableEngine) -> None:
+        record = {
+            "service": "calls",
+            "address": engine.address,
+            "zone": engine.domain,
+            "state": "ready",
+            "capacity": 16,
+        }
+        if self.settings.returns is not Return.SAME_ID_UNDATED:
+            record["born"] = engine.started_ms
+        self.store.put(f"servers/{engine.id}", record)
+
+    async def _keep_engine(self, engine: CrashableEngine) -> None:
+        """Let an ended engine return, and its record expire meanwhile."""
+        settings = self.settings
+        while True:
+            await engine.ended.wait()
+            key = f"servers/{engine.id}"
+            expiry_s = min(RECORD_TTL_SECONDS, settings.down_s)
+            await pause(expiry_s)
+            if settings.down_s > RECORD_TTL_SECONDS:
+                self.store.delete(key)
+                await pause(settings.down_s - RECORD_TTL_SECONDS)
+            address = engine.address
+            if settings.returns is Return.NEW_ADDRESS:
+                address = free_address()
+            if settings.returns in (Return.NEW_ID, Return.NEW_ADDRESS):
+                self.store.delete(key)
+                self._run_count += 1
+                engine.id = f"{engine.id.partition('-')[0]}-{self._run_count}"
+            await engine.start(address)
+            self._register(engine)
+
+    async def _send_crashing(self, began: float) -> None:
+        settings = self.settings
+        await pause(1.0)
+        while time.monotonic() < began + settings.seconds:
+            for gateway in self._random.sample(self.gateways, settings.copies):
+                self._send(gateway, f"/{settings.route}/crash", CRASH_BODY)
+            await pause(settings.crash_interval_s)
+
+    async def _send_others(self, began: float) -> None:
+        settings = self.settings
+        if not settings.calls_per_s:
+            return
+        while time.monotonic() < began + settings.seconds:
+            gateway = self._random.choice(self.gateways)
+            number = len(self.calls)
+            self._send(gateway, f"/safe/{number}", f"call {number}".encode())
+            await pause(self._random.expovariate(settings.calls_per_s))
+
+    def _send(self, gateway: GatewayProcess, path: str, body: bytes) -> None:
+        record = CallRecord(
+            f"r{len(self.calls):06}",
+            gateway.process.name,
+            body == CRASH_BODY,
+            time.monotonic(),
+        )
+        self.calls.append(record)
+        task = asyncio.create_task(self._exchange(gateway, path, body, record))
+        self._call_tasks.add(task)
+        task.add_done_callback(self._call_tasks.discard)
+
+    async def _exchange(
+        self, gateway: GatewayProcess, path: str, body: bytes, record: CallRecord
+    ) -> None:
+        headers = {
+            "Host": HOST,
+            "Request-Id": record.request_id,
+            "Credential": KEY,
+            "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+        }
+        url = f"http://{gateway.caller_address}{path}"
+        try:
+            async with asyncio.timeout(DEADLINE_SECONDS + 0.5):
+                async with self._session.post(url, headers=headers, data=body) as reply:
+                    await reply.read()
+                    record.status = reply.status
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            record.status = 0
+        record.ended = time.monotonic()
--- /dev/null
+++ b/tests/harness/crash_drill/engine.py
@@ -0,0 +1,197 @@
+"""An engine that ends while it runs one particular request content."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+import time
+from enum import StrEnum
+
+import attrs
+
+WORK_SECONDS = 0.02
+CRASH_BODY = b"this content crashes engines"
+# The connections that the kernel completes for a listener that accepts none.
+SILENT_BACKLOG = 1
+
+
+class Death(StrEnum):
+    """How an engine ends, as seen on its sockets.
+
+    A REFUSING engine resets its connections and listens no more. A SILENT one keeps
+    them open without a byte, and new ones are answered by its kernel at most. A
+    RESETTING one accepts new connections and resets them.
+    """
+
+    REFUSING = "refusing"
+    SILENT = "silent"
+    RESETTING = "resetting"
+
+
+class Return(StrEnum):
+    """As what an ended engine returns: id, start time, and address of the next run."""
+
+    SAME_ID = "same id, later start time"
+    SAME_ID_UNDATED = "same id, no start time"
+    NEW_ID = "new id, same address"
+    NEW_ADDRESS = "new id, new address"
+
+
+@attrs.define
+class Arrival:
+    """One request that an engine began to run; ``at`` is a monotonic time."""
+
+    request_id: str
+    engine: str
+    at: float
+    crashed: bool
+
+
+class CrashableEngine:
+    """One place of the fleet at which an engine runs, ends, and runs again.
+
+    ``id``, ``address``, and ``started_ms`` are those of the current run.
+    """
+
+    def __init__(self, name: str, domain: str, death: Death, arrivals: list[Arrival]):
+        self.id = name
+        self.domain = domain
+        self.address = ""
+        self.started_ms = 0
+        self.is_up = False
+        self.ended = asyncio.Event()
+        self._death = death
+        self._arrivals = arrivals
+        self._server: asyncio.Server | None = None
+        self._silent_listener: socket.socket | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._run = 0
+        self._run_over = asyncio.Event()
+
+    async def start(self, address: str) -> None:
+        """Begin a run that listens on ``address``."""
+        self._end_run()
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self.started_ms = int(time.time() * 1000)
+        self.is_up = True
+        self._run += 1
+        self.ended = asyncio.Event()
+        self._run_over = asyncio.Event()
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def stop(self) -> None:
+        """Close everything."""
+        self.is_up = False
+        self._end_run()
+
+    def crash(self) -> None:
+        """End the current run in the way set at the creation."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.ended.set()
+        if self._death is Death.RESETTING:
+            self._abort_connections()
+            return
+        self._server.close()
+        if self._death is Death.REFUSING:
+            self._abort_connections()
+        else:
+            self._listen_silently()
+
+    def _end_run(self) -> None:
+        """Close what the current run has left open."""
+        self._run_over.set()
+        self._close_silent_listener()
+        if self._server is not None:
+            self._server.close()
+        self._abort_connections()
+
+    def _listen_silently(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(SILENT_BACKLOG)
+        self._silent_listener = listener
+
+    def _close_silent_listener(self) -> None:
+        if self._silent_listener is not None:
+            self._silent_listener.close()
+            self._silent_listener = None
+
+    def _abort_connections(self) -> None:
+        for writer in list(self._writers):
+            _reset(writer)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if not self.is_up:
+            _reset(writer)
+            return
+        self._writers.add(writer)
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while await self._serve_request(reader, writer):
+                    pass
+        finally:
+            self._writers.discard(writer)
+            if self.is_up:
+                writer.close()
+
+    async def _serve_request(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer one request; return whether the connection goes on."""
+        run, run_over = self._run, self._run_over
+        head = await reader.readuntil(b"\r\n\r\n")
+        headers = _parse_headers(head)
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        if not self.is_up or self._run != run:
+            await run_over.wait()
+            return False
+        if head.startswith(b"GET /health "):
+            writer.write(
+                f"HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            return True
+        if headers.get("expect-instance") != self.id:
+            writer.write(
+                b"HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            return True
+        request_id = headers["request-id"]
+        crashes = body == CRASH_BODY
+        self._arrivals.append(
+            Arrival(request_id, f"{self.id}#{run}", time.monotonic(), crashes)
+        )
+        await asyncio.sleep(0 if crashes else WORK_SECONDS)
+        if crashes:
+            self.crash()
+        if not self.is_up or self._run != run:
+            await run_over.wait()
+            return False
+        writer.write(
+            f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Seal: s\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+        return True
+
+
+def _parse_headers(head: bytes) -> dict[str, str]:
+    lines = head.decode("latin-1").split("\r\n")[1:]
+    fields = (line.partition(":") for line in lines if line)
+    return {name.lower(): value.strip() for name, _, value in fields}
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    linger = struct.pack("ii", 1, 0)
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
