Log which signs of a crash the gateway dismisses

Event 417 names the lost responses that weren't taken for a crash and why, 418 when a peer's crash reports arrive, and 408, 409, and 414 the fingerprint of the content, so that it can be followed over the VMs.

--- a/dotterelpitch/gateway/digest_exchange.py
+++ b/dotterelpitch/gateway/digest_exchange.py
@@ -12,6 +12,7 @@
 )
 from dotterelpitch.routing.crash_suspects import Clearance, Crash, CrashSuspects
 from dotterelpitch.routing.fleet_loads import FleetLoads
+from dotterelpitch.telemetry.events import Event, log_event
 
 
 class DigestExchange:
@@ -75,6 +76,7 @@
             self._loads.update_source(peer.name, digest.count_by_engine)
         else:
             self._loads.remove_source(peer.name)
+        self._log_crashes(peer.name, digest.crashes)
         self._suspects.merge(
             [
                 Crash(c.fingerprint, c.engine, c.engine_run, self._wall_time(c.age_ms))
@@ -86,6 +88,16 @@
             ],
         )
 
+    @staticmethod
+    def _log_crashes(peer: str, crashes: list[CrashReport]) -> None:
+        if crashes:
+            log_event(
+                Event.CRASHES_REPORTED,
+                peer=peer,
+                engines=sorted({crash.engine for crash in crashes}),
+                fingerprints=sorted({crash.fingerprint for crash in crashes}),
+            )
+
     def _accepts_load_from(self, link: Link) -> bool:
         """Return whether the loads on this link arrive on no other link.
 
--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -74,6 +74,13 @@
         self.health.retain(engine_ids)
         self.error_rates.retain(engine_ids)
         self._crash_detector.expire()
+        for loss in self._crash_detector.take_dismissed():
+            log_event(
+                Event.CRASH_DISMISSED,
+                engine=loss.engine_id,
+                fingerprints=loss.fingerprints,
+                reason=loss.reason,
+            )
 
     def _record_failure(
         self, call: Call, choice: EngineChoice, result: AttemptResult
@@ -92,6 +99,10 @@
                 engine.id, str(engine.started_ms), engine.failure_domain
             )
             if crashes:
-                log_event(Event.ENGINE_DIED, engine=engine.id, suspects=len(crashes))
+                log_event(
+                    Event.ENGINE_DIED,
+                    engine=engine.id,
+                    fingerprints=[crash.fingerprint for crash in crashes],
+                )
         if self.health.state(engine.id) is HealthState.SUSPECT:
             log_event(Event.ENGINE_SUSPECTED, engine=engine.id, reason=result.reason)
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -120,7 +120,11 @@
         if not self._has_time(call):
             return "its deadline is too near"
         if self._engine_tracker.is_banned(call):
-            log_event(Event.REQUEST_BANNED, request=call.request_id)
+            log_event(
+                Event.REQUEST_BANNED,
+                request=call.request_id,
+                fingerprint=call.fingerprint,
+            )
             return "requests with this content have crashed engines"
         if not self._concurrency_limiter.admits(call.service, call.priority):
             return "the engines have more work than they can do in time"
@@ -259,6 +263,7 @@
             route=call.route.name,
             account=call.account_name,
             engine=choice.engine.id,
+            fingerprint=call.fingerprint,
             reason=choice.reason,
             load=choice.load,
             mean_load=round(choice.mean_load, 1),
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -7,7 +7,9 @@
 first counts as crashed.
 """
 
-from attrs import define, field
+from enum import StrEnum
+
+from attrs import define, field, frozen
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.routing.crash_suspects import Crash, CrashSuspects
@@ -19,6 +21,22 @@
 DOMAIN_OUTAGE_SECONDS = 3.0
 
 
+class Dismissal(StrEnum):
+    """Why lost responses weren't taken for a crash; the values are logged."""
+
+    NO_REFUSAL = "no connection was refused in time"
+    DOMAIN_OUTAGE = "another engine of the domain refused just before"
+
+
+@frozen
+class DismissedLoss:
+    """Lost responses of one engine that weren't taken for a crash."""
+
+    engine_id: str
+    fingerprints: tuple[str, ...]
+    reason: Dismissal
+
+
 @define
 class _LostResponse:
     at: float
@@ -43,6 +61,7 @@
     _suspects: CrashSuspects
     _losses_by_engine: dict[str, list[_LostResponse]] = field(factory=dict)
     _last_refusal_by_domain: dict[str, _RefusedConnection] = field(factory=dict)
+    _dismissed: list[DismissedLoss] = field(factory=list)
 
     def record_lost_response(self, engine_id: str, fingerprint: str) -> None:
         """Record a response that was lost before its start or in the middle."""
@@ -70,6 +89,8 @@
             and last.engine_id != engine_id
             and now - last.at < DOMAIN_OUTAGE_SECONDS
         )
+        if is_domain_outage and recent:
+            self._dismiss(engine_id, recent, Dismissal.DOMAIN_OUTAGE)
         if is_domain_outage or not recent:
             return []
         return self._suspects.engine_died(engine_id, engine_run, recent)
@@ -79,7 +100,20 @@
         oldest = self._clock.monotonic() - MAX_LOSS_AGE_SECONDS
         for engine_id, losses in list(self._losses_by_engine.items()):
             kept = [loss for loss in losses if loss.at >= oldest]
+            expired = [loss.fingerprint for loss in losses if loss.at < oldest]
+            if expired:
+                self._dismiss(engine_id, expired, Dismissal.NO_REFUSAL)
             if kept:
                 self._losses_by_engine[engine_id] = kept
             else:
                 del self._losses_by_engine[engine_id]
+
+    def take_dismissed(self) -> list[DismissedLoss]:
+        """Return the losses dismissed since the last call."""
+        dismissed, self._dismissed = self._dismissed, []
+        return dismissed
+
+    def _dismiss(
+        self, engine_id: str, fingerprints: list[str], reason: Dismissal
+    ) -> None:
+        self._dismissed.append(DismissedLoss(engine_id, tuple(fingerprints), reason))
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -85,6 +85,8 @@
     DIGEST_REFUSED = (413, logging.WARNING, "a peer's digest is invalid")
     ATTEMPT_STARTED = (414, logging.INFO, "an engine was chosen for an attempt")
     ATTEMPT_FAILED = (415, logging.WARNING, "an attempt got no usable response")
+    CRASH_DISMISSED = (417, logging.INFO, "possible signs of a crash were dismissed")
+    CRASHES_REPORTED = (418, logging.INFO, "a peer has reported engine crashes")
     LIMIT_MOVED = (416, logging.INFO, "the limit on requests in flight has changed")
     REQUEST_ENDED = (501, logging.INFO, "a request has its final outcome")
     REQUEST_REFUSED = (503, logging.WARNING, "a request was rejected before it ran")
