--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -12,6 +12,7 @@
 from dotterelpitch.gateway.attempt_observer import log_limit_change
 from dotterelpitch.gateway.background import keep_running
 from dotterelpitch.gateway.body_memory import BodyMemory
+from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.gateway.digest_exchange import DigestExchange
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.forwarding import Forwarder
@@ -60,7 +61,7 @@
         self.state = GatewayState(self._clock)
         self.state.directory.drain_s = vm.promises.drain_s
         self.loads = FleetLoads(self._clock)
-        self.engine_tracker = EngineTracker(self._clock, vm.failure_domain)
+        self.engine_tracker = EngineTracker(self._clock, vm.vm_name, vm.failure_domain)
         promises = vm.promises
         self.retry_budget = FleetRetryBudget(
             self._clock,
@@ -73,6 +74,8 @@
         )
         self.pool = ConnectionPool(self._clock)
         engine_tracker = self.engine_tracker
+        self.state.directory.on_restart = engine_tracker.record_engine_restart
+        self.crash_watcher = CrashWatcher(self._clock, self.state, engine_tracker)
         chooser = EngineChooser(
             self.state.directory,
             self.loads,
@@ -89,7 +92,9 @@
             engine_tracker,
             self.retry_budget,
             self.concurrency_limiter,
-            AttemptRunner(self._clock, self.pool, self.concurrency_limiter),
+            AttemptRunner(
+                self._clock, self.pool, self.concurrency_limiter, self.crash_watcher
+            ),
         )
         self.links = LinkTable()
         self.metrics = GatewayMetrics(
@@ -138,6 +143,7 @@
             tasks = [
                 asyncio.create_task(keep_running("store", store_watcher.run)),
                 asyncio.create_task(keep_running("peers", self._peer_links.run)),
+                asyncio.create_task(keep_running("crashes", self.crash_watcher.run)),
                 asyncio.create_task(
                     keep_running("sweep", partial(self._sweep, listeners.callers))
                 ),
@@ -164,7 +170,7 @@
             self._topology,
             self.links,
             self.loads,
-            self.engine_tracker.suspects,
+            self.engine_tracker,
             self._reader_selection,
         )
         peer_links = PeerLinks(
--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -6,7 +6,9 @@
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.attempt_observer import AttemptObserver
+from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.call import Call, ResponseWriter
+from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
 from dotterelpitch.platform.headers import (
     EngineCall,
@@ -56,26 +58,6 @@
 }
 
 
-@frozen
-class AttemptResult:
-    """Outcome of an attempt.
-
-    ``status``, ``headers``, and ``body`` hold the engine's response if it was not
-    delivered; of a delivered one only ``status`` is set. ``failure`` is what counts
-    against the engine's health, or None. ``connect_s`` is the time to get a
-    connection and ``longest_pause_s`` the longest pause in a stream, in seconds.
-    """
-
-    outcome: AttemptOutcome
-    reason: str = ""
-    status: int = 0
-    headers: Headers = ()
-    body: bytes = b""
-    failure: FailureKind | None = None
-    connect_s: float | None = None
-    longest_pause_s: float | None = None
-
-
 @frozen
 class AttemptLimits:
     """Limits of one attempt.
@@ -101,10 +83,12 @@
         clock: Clock,
         pool: ConnectionPool,
         concurrency_limiter: AdaptiveConcurrencyLimiter,
+        crash_watcher: CrashWatcher,
     ) -> None:
         self._clock = clock
         self._pool = pool
         self._concurrency_limiter = concurrency_limiter
+        self._crash_watcher = crash_watcher
 
     async def run(
         self,
@@ -132,7 +116,9 @@
             failure = _FAILURE_BY_ERROR.get(type(error))
             return AttemptResult(AttemptOutcome.NOT_SENT, str(error), failure=failure)
         connect_s = self._clock.monotonic() - started
-        observer = AttemptObserver(self._concurrency_limiter, call)
+        observer = AttemptObserver(
+            self._concurrency_limiter, self._crash_watcher, call, engine
+        )
         try:
             connection.send(
                 self._encode(call, choice, events),
@@ -142,8 +128,10 @@
             result = await self._handle_response(
                 connection, call, limits, writer, events, observer
             )
+            observer.answered()
             return evolve(result, connect_s=connect_s)
         except AnswerLostError as error:
+            observer.connection_broke()
             failure = _FAILURE_BY_ERROR[type(error)]
             return AttemptResult(AttemptOutcome.LOST, str(error), failure=failure)
         except TimeoutError:
@@ -261,6 +249,7 @@
                 data = await connection.read_body()
             if not data:
                 break
+            observer.data_received()
             complete_events = events.feed(data)
             if complete_events:
                 now = self._clock.monotonic()
--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -1,29 +1,37 @@
-"""Reports the latency and the end of each attempt to the concurrency limiter."""
+"""Reports each attempt to the concurrency limiter and to the crash detector."""
 
 import attrs
 from attrs import define, field
 
 from dotterelpitch.gateway.call import Call
+from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.platform.headers import ReportedLoad, ResponseClass
 from dotterelpitch.routing.concurrency_limiter import (
     AdaptiveConcurrencyLimiter,
     InFlightRequest,
     LimitChange,
 )
+from dotterelpitch.routing.crash_detector import UnansweredAttempt
+from dotterelpitch.routing.engines import Engine
 from dotterelpitch.telemetry.events import Event, log_event
 
 
 @define
 class AttemptObserver:
-    """Reports one attempt to the concurrency limiter, from sending its request on.
+    """Reports one attempt, from sending its request on.
 
     An engine that doesn't report its load is taken to be crowded, so a late response
     from it counts as overload.
     """
 
     _concurrency_limiter: AdaptiveConcurrencyLimiter
+    _crash_watcher: CrashWatcher
     _call: Call
+    _engine: Engine
     _request: InFlightRequest = field(init=False)
+    _attempt: UnansweredAttempt = field(init=False)
+    _is_broken: bool = field(default=False, init=False)
+    _is_answered: bool = field(default=False, init=False)
     _is_crowded: bool = field(default=True, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -31,23 +39,44 @@
         self._request = self._concurrency_limiter.request_started(
             self._call.service, route.objective_s
         )
+        self._attempt = self._crash_watcher.attempt_sent(
+            self._engine, self._call.fingerprint
+        )
 
     def head_received(
         self, response_class: ResponseClass, load: ReportedLoad | None
     ) -> None:
         """Record the head of the response; a rejection counts as late."""
+        self.data_received()
         if load is not None:
             self._is_crowded = load.is_crowded
         if response_class is ResponseClass.NOT_RUN:
             self._concurrency_limiter.request_rejected(self._request)
 
+    def data_received(self) -> None:
+        """Record bytes of the response."""
+        self._crash_watcher.heard_from(self._engine)
+
     def response_started(self) -> None:
         """Record that the first byte for the caller has arrived."""
+        self._crash_watcher.output_started(self._attempt)
         self._concurrency_limiter.response_started(self._request, self._is_crowded)
 
+    def answered(self) -> None:
+        """Record that the response is complete."""
+        self._is_answered = True
+
+    def connection_broke(self) -> None:
+        """Record that the connection broke before the response was complete."""
+        self._is_broken = True
+
     def ended(self) -> None:
         """Record that the attempt has ended."""
         self._concurrency_limiter.request_ended(self._request)
+        if self._is_answered:
+            self._crash_watcher.attempt_answered(self._engine, self._attempt)
+            return
+        self._crash_watcher.attempt_ended(self._engine, self._attempt, self._is_broken)
 
 
 def log_limit_change(change: LimitChange) -> None:
--- /dev/null
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -0,0 +1,147 @@
+"""Finds out whether an engine that left a request unanswered has ended.
+
+Whether a VM meets an engine again soon depends on its traffic, so it asks: at once
+when a connection breaks with a request in flight, and after a silence while a request
+waits. A crash is then known at the VM whose request it was, however few requests the
+VM has.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from dotterelpitch.clock import Clock
+from dotterelpitch.gateway.engine_tracker import EngineTracker
+from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.routing.crash_detector import UnansweredAttempt
+from dotterelpitch.routing.engines import Engine
+from dotterelpitch.routing.health import FailureKind
+from dotterelpitch.routing.route_table import DEFAULT_HEALTH_PATH
+from dotterelpitch.telemetry.events import Event, log_event
+from dotterelpitch.upstream.engine_check import CheckResult, check_engine
+
+SWEEP_INTERVAL_SECONDS = 0.2
+# An engine that is busy says something more often than this.
+SILENCE_SECONDS = 0.4
+# A slow engine that responds to checks isn't checked again sooner.
+MIN_CHECK_INTERVAL_SECONDS = 1.5
+# An engine that is busy, or that resets connections since it has too many, says
+# something to another request within this time, which saves the check.
+PATIENCE_SECONDS = 0.1
+
+Check = Callable[[str, str, str], Awaitable[CheckResult]]
+
+_FAILURE_BY_RESULT = {
+    CheckResult.REPLACED: FailureKind.REFUSED,
+    CheckResult.REFUSED: FailureKind.REFUSED,
+    CheckResult.BROKEN: FailureKind.REFUSED,
+    CheckResult.SILENT: FailureKind.UNREACHABLE,
+}
+
+
+class CrashWatcher:
+    """Checks engines that leave requests unanswered; at most one check at a time each.
+
+    >>> task = asyncio.create_task(keep_running("crashes", watcher.run))
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        state: GatewayState,
+        tracker: EngineTracker,
+        check: Check = check_engine,
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._tracker = tracker
+        self._detector = tracker.crash_detector
+        self._check = check
+        self._task_by_engine: dict[str, asyncio.Task] = {}
+        self._checked_at_by_engine: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Check the silent engines periodically until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
+            for engine_id in self._detector.silent_engines(SILENCE_SECONDS):
+                if self._is_due(engine_id):
+                    self.check_soon(engine_id)
+
+    def attempt_sent(self, engine: Engine, fingerprint: str) -> UnansweredAttempt:
+        """Record that a request was sent to an engine."""
+        return self._detector.attempt_sent(engine.id, fingerprint)
+
+    def heard_from(self, engine: Engine) -> None:
+        """Record bytes from an engine."""
+        self._tracker.heard_from(engine)
+
+    def output_started(self, attempt: UnansweredAttempt) -> None:
+        """Record that the engine has begun to send the response."""
+        self._detector.output_started(attempt)
+
+    def attempt_answered(self, engine: Engine, attempt: UnansweredAttempt) -> None:
+        """Record a complete response."""
+        self._detector.attempt_answered(engine.id, attempt)
+        self._tracker.heard_from(engine)
+
+    def attempt_ended(
+        self, engine: Engine, attempt: UnansweredAttempt, is_broken: bool
+    ) -> None:
+        """Record an attempt without a complete response, and check its engine.
+
+        ``is_broken`` is whether its connection broke.
+        """
+        self._detector.attempt_ended(attempt, is_broken)
+        if is_broken:
+            self.check_soon(engine.id)
+
+    def check_soon(self, engine_id: str) -> None:
+        """Start a check of an engine unless one is running."""
+        engine = self._state.directory.engine_by_id.get(engine_id)
+        if engine is None or engine_id in self._task_by_engine:
+            return
+        self._checked_at_by_engine[engine_id] = self._clock.monotonic()
+        task = asyncio.create_task(self._check_engine(engine))
+        self._task_by_engine[engine_id] = task
+        task.add_done_callback(lambda _: self._task_by_engine.pop(engine_id))
+
+    def _is_due(self, engine_id: str) -> bool:
+        checked_at = self._checked_at_by_engine.get(engine_id, float("-inf"))
+        return self._clock.monotonic() - checked_at >= MIN_CHECK_INTERVAL_SECONDS
+
+    async def _check_engine(self, engine: Engine) -> None:
+        began = self._clock.monotonic()
+        await asyncio.sleep(PATIENCE_SECONDS)
+        if self._detector.has_outlived(engine.id, began):
+            return
+        result = await self._check(engine.id, engine.address, self._health_path(engine))
+        log_event(
+            Event.ENGINE_CHECKED,
+            engine=engine.id,
+            result=result,
+            seconds=round(self._clock.monotonic() - began, 3),
+        )
+        if result is CheckResult.RESPONDED:
+            self._tracker.heard_from(engine)
+        elif result is CheckResult.REFUSED or not self._detector.has_outlived(
+            engine.id, began
+        ):
+            self._engine_failed(engine, result, began)
+
+    def _engine_failed(self, engine: Engine, result: CheckResult, began: float) -> None:
+        reach = self._tracker.domain_reachability
+        if result is CheckResult.SILENT and not reach.is_reached_since(
+            engine.failure_domain, began
+        ):
+            log_event(
+                Event.CRASH_DISMISSED,
+                engine=engine.id,
+                reason="the failure domain is silent too",
+            )
+            return
+        self._tracker.record_engine_end(engine, _FAILURE_BY_RESULT[result], result)
+
+    def _health_path(self, engine: Engine) -> str:
+        config = self._state.config
+        service = config.service_by_name.get(engine.service) if config else None
+        return service.health_path if service else DEFAULT_HEALTH_PATH
--- a/dotterelpitch/gateway/digest_exchange.py
+++ b/dotterelpitch/gateway/digest_exchange.py
@@ -1,6 +1,7 @@
 """Creates this gateway's digests and applies those of its peers."""
 
 from dotterelpitch.clock import Clock
+from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.link import Link, LinkTable
 from dotterelpitch.gateway.link_topology import LinkTopology
 from dotterelpitch.gateway.reader_selection import ReaderSelection
@@ -10,10 +11,13 @@
     CrashReport,
     GatewayDigest,
 )
-from dotterelpitch.routing.crash_suspects import Clearance, Crash, CrashSuspects
+from dotterelpitch.routing.crash_suspects import Clearance, Crash
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.telemetry.events import Event, log_event
 
+# An engine that crashed longer ago may be back.
+MAX_REPORT_AGE_MS = 2000
+
 
 class DigestExchange:
     """Creates digests from this gateway's state and updates the state from peers'.
@@ -29,7 +33,7 @@
         topology: LinkTopology,
         links: LinkTable,
         loads: FleetLoads,
-        suspects: CrashSuspects,
+        engine_tracker: EngineTracker,
         reader_selection: ReaderSelection,
     ) -> None:
         self._vm = vm
@@ -38,7 +42,8 @@
         self._topology = topology
         self._links = links
         self._loads = loads
-        self._suspects = suspects
+        self._engine_tracker = engine_tracker
+        self._suspects = engine_tracker.suspects
         self._reader_selection = reader_selection
 
     def make(self, link: Link) -> GatewayDigest:
@@ -54,7 +59,13 @@
             store_age_ms=self._state.age_ms,
             count_by_engine=self._loads_for(link),
             crashes=[
-                CrashReport(c.fingerprint, c.engine, c.engine_run, self._age_ms(c.at))
+                CrashReport(
+                    c.fingerprint,
+                    c.engine,
+                    c.engine_run,
+                    self._age_ms(c.at),
+                    c.was_running,
+                )
                 for c in crashes
             ],
             cleared=[
@@ -76,10 +87,20 @@
             self._loads.update_source(peer.name, digest.count_by_engine)
         else:
             self._loads.remove_source(peer.name)
-        self._log_crashes(peer.name, digest.crashes)
+        self._engine_tracker.domain_reachability.heard_from(peer.failure_domain)
+        self._apply_crashes(peer.name, digest)
+
+    def _apply_crashes(self, peer: str, digest: GatewayDigest) -> None:
+        self._log_crashes(peer, digest.crashes)
         self._suspects.merge(
             [
-                Crash(c.fingerprint, c.engine, c.engine_run, self._wall_time(c.age_ms))
+                Crash(
+                    c.fingerprint,
+                    c.engine,
+                    c.engine_run,
+                    self._wall_time(c.age_ms),
+                    c.was_running,
+                )
                 for c in digest.crashes
             ],
             [
@@ -87,6 +108,18 @@
                 for c in digest.cleared
             ],
         )
+        for crash in digest.crashes:
+            self._apply_engine_end(crash)
+
+    def _apply_engine_end(self, crash: CrashReport) -> None:
+        """Make the engine of a new crash suspect, unless it has restarted since."""
+        engine = self._state.directory.engine_by_id.get(crash.engine)
+        if engine is None or crash.age_ms > MAX_REPORT_AGE_MS:
+            return
+        if crash.engine_run != str(engine.started_ms):
+            return
+        crashed_at = self._clock.monotonic() - crash.age_ms / 1000
+        self._engine_tracker.record_peer_report(engine, crashed_at)
 
     @staticmethod
     def _log_crashes(peer: str, crashes: list[CrashReport]) -> None:
--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -1,13 +1,14 @@
 """Tracks the health of engines from the outcomes of attempts."""
 
 from dotterelpitch.clock import Clock
-from dotterelpitch.gateway.attempt import AttemptResult
+from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.call import Call
 from dotterelpitch.routing.attempt_outcomes import AttemptOutcome
 from dotterelpitch.routing.crash_detector import CrashDetector
-from dotterelpitch.routing.crash_suspects import CrashSuspects, CrashVerdict
+from dotterelpitch.routing.crash_suspects import Crash, CrashSuspects, CrashVerdict
 from dotterelpitch.routing.domain_reachability import DomainReachability
 from dotterelpitch.routing.engine_choice import EngineChoice
+from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.error_rates import ErrorRates
 from dotterelpitch.routing.health import (
     EngineHealth,
@@ -21,6 +22,9 @@
 # A request that has crashed this many engines is refused. Two is too low: a resumed
 # stream or a caller's own retry can meet two crashing engines by chance.
 MAX_CRASHED_ENGINES = 3
+# The peers' reports of a crash arrive within this time, so that it is known what else
+# was in flight.
+REPORT_DELAY_SECONDS = 0.5
 # A suspect engine is probed by one request at a time, so the back-off can be short.
 HEALTH_POLICY = HealthPolicy(
     initial_backoff_s=0.5, max_backoff_s=4.0, ramp_s=1.0, max_ramp_s=8.0
@@ -37,18 +41,23 @@
 class EngineTracker:
     """Health, error rates, reachability, crashes, and cached prompts of engines."""
 
-    def __init__(self, clock: Clock, failure_domain: str) -> None:
+    def __init__(self, clock: Clock, vm: str, failure_domain: str) -> None:
         self.health = EngineHealth(clock, HEALTH_POLICY)
         self.error_rates = ErrorRates(clock)
         self.domain_reachability = DomainReachability(clock, failure_domain)
         self.prompt_cache = PromptCacheIndex(clock)
-        self.suspects = CrashSuspects(clock, MAX_CRASHED_ENGINES)
-        self._crash_detector = CrashDetector(clock, self.suspects)
+        self.suspects = CrashSuspects(clock, MAX_CRASHED_ENGINES, REPORT_DELAY_SECONDS)
+        self.crash_detector = CrashDetector(vm, clock, self.suspects)
 
     def is_banned(self, call: Call) -> bool:
         """Return whether requests with this content have crashed engines."""
         return self.suspects.verdict(call.fingerprint) is CrashVerdict.BANNED
 
+    def heard_from(self, engine: Engine) -> None:
+        """Record bytes from an engine."""
+        self.crash_detector.heard_from(engine.id)
+        self.domain_reachability.heard_from(engine.failure_domain)
+
     def record_attempt(
         self, call: Call, choice: EngineChoice, result: AttemptResult
     ) -> None:
@@ -64,7 +73,36 @@
             self.health.record_success(engine.id)
             self.domain_reachability.record_response(engine.failure_domain)
             return
-        self._record_failure(call, choice, result)
+        self._record_failure(engine, result)
+
+    def record_engine_end(
+        self, engine: Engine, failure: FailureKind, evidence: str
+    ) -> None:
+        """Record that an engine has ended without notice.
+
+        The requests in flight there become crash suspects. ``evidence`` says how it
+        is known, for the log.
+        """
+        if self.health.state(engine.id) is not HealthState.SUSPECT:
+            self.health.record_failure(engine.id, failure)
+            self._log_if_suspect(engine, evidence)
+        _log_crashes(engine, evidence, self.crash_detector.engine_ended(engine))
+
+    def record_engine_restart(self, previous: Engine) -> None:
+        """Record that the registry lists another run in place of ``previous``."""
+        crashes = self.crash_detector.engine_restarted(previous)
+        _log_crashes(previous, "restarted", crashes)
+
+    def record_peer_report(self, engine: Engine, crashed_at: float) -> None:
+        """Record that an engine crashed at a peer; ``crashed_at`` is monotonic.
+
+        The engine becomes suspect here too, unless it was heard since.
+        """
+        if self.crash_detector.has_outlived(engine.id, crashed_at):
+            return
+        if self.health.state(engine.id) is HealthState.HEALTHY:
+            self.health.record_failure(engine.id, FailureKind.REFUSED)
+            self._log_if_suspect(engine, "a peer has reported its crash")
 
     def retain(self, engine_ids: set[str]) -> None:
         """Drop the health and error rate of engines that aren't in ``engine_ids``.
@@ -73,36 +111,32 @@
         """
         self.health.retain(engine_ids)
         self.error_rates.retain(engine_ids)
-        self._crash_detector.expire()
-        for loss in self._crash_detector.take_dismissed():
-            log_event(
-                Event.CRASH_DISMISSED,
-                engine=loss.engine_id,
-                fingerprints=loss.fingerprints,
-                reason=loss.reason,
-            )
+        self.crash_detector.retain(engine_ids)
+        self.crash_detector.expire()
 
-    def _record_failure(
-        self, call: Call, choice: EngineChoice, result: AttemptResult
-    ) -> None:
-        engine = choice.engine
+    def _record_failure(self, engine: Engine, result: AttemptResult) -> None:
         failure = result.failure
         self.health.record_failure(engine.id, failure)
         if failure is FailureKind.UNREACHABLE:
             self.domain_reachability.record_unreachable(
                 engine.failure_domain, engine.id
             )
-        if failure is FailureKind.RESPONSE_LOST:
-            self._crash_detector.record_lost_response(engine.id, call.fingerprint)
-        if failure is FailureKind.REFUSED and result.outcome is AttemptOutcome.NOT_SENT:
-            crashes = self._crash_detector.record_refused_connection(
-                engine.id, str(engine.started_ms), engine.failure_domain
-            )
-            if crashes:
-                log_event(
-                    Event.ENGINE_DIED,
-                    engine=engine.id,
-                    fingerprints=[crash.fingerprint for crash in crashes],
-                )
+        if failure is FailureKind.REFUSED:
+            evidence = result.reason
+            _log_crashes(engine, evidence, self.crash_detector.engine_ended(engine))
+        self._log_if_suspect(engine, result.reason)
+
+    def _log_if_suspect(self, engine: Engine, reason: str) -> None:
         if self.health.state(engine.id) is HealthState.SUSPECT:
-            log_event(Event.ENGINE_SUSPECTED, engine=engine.id, reason=result.reason)
+            log_event(Event.ENGINE_SUSPECTED, engine=engine.id, reason=reason)
+
+
+def _log_crashes(engine: Engine, evidence: str, crashes: list[Crash]) -> None:
+    if crashes:
+        log_event(
+            Event.ENGINE_DIED,
+            engine=engine.id,
+            run=crashes[0].engine_run,
+            evidence=evidence,
+            fingerprints=[crash.fingerprint for crash in crashes],
+        )
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -5,7 +5,8 @@
 from attrs import define, field
 
 from dotterelpitch.clock import Clock
-from dotterelpitch.gateway.attempt import AttemptLimits, AttemptResult, AttemptRunner
+from dotterelpitch.gateway.attempt import AttemptLimits, AttemptRunner
+from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.call import Call, ResponseWriter
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
@@ -48,6 +49,8 @@
 # Share of the non-retryable requests that may probe a suspect engine.
 UNSAFE_PROBE_SHARE = 0.1
 
+BANNED_REASON = "requests with this content have crashed engines"
+
 
 @define
 class CallProgress:
@@ -119,17 +122,23 @@
         """Return why a call must not be forwarded, or an empty string."""
         if not self._has_time(call):
             return "its deadline is too near"
-        if self._engine_tracker.is_banned(call):
-            log_event(
-                Event.REQUEST_BANNED,
-                request=call.request_id,
-                fingerprint=call.fingerprint,
-            )
-            return "requests with this content have crashed engines"
+        if self._is_banned(call):
+            return BANNED_REASON
         if not self._concurrency_limiter.admits(call.service, call.priority):
             return "the engines have more work than they can do in time"
         return ""
 
+    def _is_banned(self, call: Call) -> bool:
+        if not self._engine_tracker.is_banned(call):
+            return False
+        log_event(
+            Event.REQUEST_BANNED,
+            request=call.request_id,
+            fingerprint=call.fingerprint,
+            engines=self._engine_tracker.suspects.crashed_engines(call.fingerprint),
+        )
+        return True
+
     def _has_time(self, call: Call) -> bool:
         """Return whether another attempt could complete before the deadline."""
         min_s = MIN_ATTEMPT_OBJECTIVES * call.route.objective_s
@@ -216,7 +225,7 @@
 
     def _may_retry(self, call: Call, progress: CallProgress) -> bool:
         """Return whether to retry, and charge the retry to the budget."""
-        if not self._has_time(call):
+        if not self._has_time(call) or self._is_banned(call):
             return False
         if progress.unsent_count >= MAX_UNSENT_ATTEMPTS:
             return False
--- a/dotterelpitch/platform/config_record.py
+++ b/dotterelpitch/platform/config_record.py
@@ -6,6 +6,7 @@
 from dotterelpitch.errors import PlatformError
 from dotterelpitch.platform._fields import read_field, read_seconds
 from dotterelpitch.routing.route_table import (
+    DEFAULT_HEALTH_PATH,
     Account,
     CallerLimits,
     CallKind,
@@ -110,9 +111,17 @@
         max_connections=read_field(table, "max_conns", int, _DEFAULT_MAX_CONNECTIONS),
         slots=read_field(engine, "capacity", int, 0),
         cache_tokens=read_field(engine, "kv_cache_tokens", int, 0),
+        health_path=_decode_health_path(table),
     )
 
 
+def _decode_health_path(table: Any) -> str:
+    """Return the path for health requests; one that can't be sent isn't used."""
+    path = read_field(table, "health_path", str, DEFAULT_HEALTH_PATH)
+    is_valid = path.startswith("/") and path.isascii() and path.isprintable()
+    return path if is_valid and " " not in path else DEFAULT_HEALTH_PATH
+
+
 def _decode_accounts(tables: list) -> dict[str, Account]:
     account_by_key = {}
     for table in tables:
--- a/dotterelpitch/platform/headers.py
+++ b/dotterelpitch/platform/headers.py
@@ -16,6 +16,7 @@
 _RESPONSE_SEAL = "response-seal"
 _NOT_EXECUTED = "not-executed"
 _SERVER_LOAD = "server-load"
+_INSTANCE_ID = "instance-id"
 
 _HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -184,6 +185,11 @@
     return ReportedLoad(running, waiting, slots)
 
 
+def decode_engine_id(value_by_name: Mapping[str, str]) -> str:
+    """Return the id in an engine's response to a health request, or ""."""
+    return value_by_name.get(_INSTANCE_ID, "")
+
+
 def response_headers(raw: Iterable[tuple[str, str]]) -> Headers:
     """Return the headers of an engine's response that are sent to the caller."""
     return [(n, v) for n, v in raw if n.lower() not in _NOT_FORWARDED_TO_CALLER]
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -27,13 +27,15 @@
 class CrashReport:
     """An engine crash with a request in flight.
 
-    ``fingerprint`` identifies the content of the request.
+    ``fingerprint`` identifies the content of the request. ``was_running`` is whether
+    the engine had been sending the response for a while.
     """
 
     fingerprint: str
     engine: str
     engine_run: str
     age_ms: int
+    was_running: bool = False
 
 
 @frozen
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -1,119 +1,225 @@
-"""Distinguishes the crash of an engine from the loss of single responses.
+"""Finds the requests that were in flight at an engine when it crashed.
 
-A response can be lost while its engine keeps running. An engine has crashed if it
-also refuses a connection right after responses from it were lost; the requests of
-those responses become crash suspects. When a failure domain is cut off, all its
-engines show the same signs, so of those that fail at nearly the same time only the
-first counts as crashed.
-"""
+An attempt without a response is *unanswered*, whether its connection broke, its time
+ran out, or its caller left. It stays open to suspicion until the engine gives a sign
+of life after it, which any bytes of any response are. When the engine turns out to
+have ended, the unanswered attempts that it hasn't outlived become crash suspects.
 
-from enum import StrEnum
+How an engine turns out to have ended is decided elsewhere; this module needs neither
+a second request nor a peer for it.
+"""
 
 from attrs import define, field, frozen
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.routing.crash_suspects import Crash, CrashSuspects
+from dotterelpitch.routing.engines import Engine
 
-# A restart takes longer than this, so a response that was lost within this time
-# before a refused connection was lost in the same crash.
-MAX_LOSS_AGE_SECONDS = 1.5
-# Engines of one failure domain that fail within this time share one cause.
-DOMAIN_OUTAGE_SECONDS = 3.0
+# How long an attempt that has ended unanswered can belong to a crash.
+MAX_ATTEMPT_AGE_SECONDS = 5.0
+# Bytes of other responses, sent before a crash, may be read this long after the
+# connection of a request was found broken.
+READ_ORDER_SECONDS = 0.05
+# An engine that has been sending a response for this long has survived its start.
+START_SECONDS = 1.0
 
 
-class Dismissal(StrEnum):
-    """Why lost responses weren't taken for a crash; the values are logged."""
-
-    NO_REFUSAL = "no connection was refused in time"
-    DOMAIN_OUTAGE = "another engine of the domain refused just before"
+@define(eq=False)
+class UnansweredAttempt:
+    """A request sent to an engine that hasn't answered it.
 
+    All times are of the monotonic clock, in seconds. ``ended_at`` is None while it is
+    in flight, and ``first_output_at`` None before the first byte of the response.
+    ``is_broken`` is whether its connection broke.
+    """
 
-@frozen
-class DismissedLoss:
-    """Lost responses of one engine that weren't taken for a crash."""
+    fingerprint: str
+    sent_at: float
+    first_output_at: float | None = None
+    ended_at: float | None = None
+    is_broken: bool = False
 
-    engine_id: str
-    fingerprints: tuple[str, ...]
-    reason: Dismissal
+    def was_running(self, now: float) -> bool:
+        """Return whether the engine had survived the start of the request."""
+        if self.first_output_at is None:
+            return False
+        until = now if self.ended_at is None else self.ended_at
+        return until - self.first_output_at > START_SECONDS
 
 
-@define
-class _LostResponse:
-    at: float
-    fingerprint: str
-
+@frozen
+class _RunEnd:
+    """The end of an engine's run: its name in crash reports, and when it ended."""
 
-@define
-class _RefusedConnection:
+    run_id: str
+    name: str
     at: float
-    engine_id: str
 
 
 @define
 class CrashDetector:
-    """Detects crashes from lost responses and refused connections.
-
-    Holds the recently lost responses by engine, and the last refused connection by
-    failure domain. Crashes are recorded in ``suspects``.
+    """The unanswered attempts at each engine, and its last sign of life.
+
+    ``vm`` is the name of this VM. Crashes are recorded in ``suspects``.
+
+    >>> from dotterelpitch.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> suspects = CrashSuspects(clock)
+    >>> detector = CrashDetector("vm-1", clock, suspects)
+    >>> attempt = detector.attempt_sent("e1", "a")
+    >>> detector.attempt_ended(attempt, is_broken=True)
+    >>> engine = Engine("e1", "chat", "127.0.0.1:1", "a", started_ms=7)
+    >>> [crash.fingerprint for crash in detector.engine_ended(engine)]
+    ['a']
     """
 
+    _vm: str
     _clock: Clock
     _suspects: CrashSuspects
-    _losses_by_engine: dict[str, list[_LostResponse]] = field(factory=dict)
-    _last_refusal_by_domain: dict[str, _RefusedConnection] = field(factory=dict)
-    _dismissed: list[DismissedLoss] = field(factory=list)
+    _attempts_by_engine: dict[str, list[UnansweredAttempt]] = field(factory=dict)
+    _heard_at_by_engine: dict[str, float] = field(factory=dict)
+    _last_end_by_engine: dict[str, _RunEnd] = field(factory=dict)
+    _unnamed_run_count: int = 0
+
+    def attempt_sent(self, engine_id: str, fingerprint: str) -> UnansweredAttempt:
+        """Record that a request was sent to an engine."""
+        attempt = UnansweredAttempt(fingerprint, self._clock.monotonic())
+        self._attempts_by_engine.setdefault(engine_id, []).append(attempt)
+        return attempt
+
+    def output_started(self, attempt: UnansweredAttempt) -> None:
+        """Record that the engine has begun to send the response."""
+        if attempt.first_output_at is None:
+            attempt.first_output_at = self._clock.monotonic()
+
+    def attempt_answered(self, engine_id: str, attempt: UnansweredAttempt) -> None:
+        """Record a complete response."""
+        self._attempts_by_engine[engine_id].remove(attempt)
+
+    def attempt_ended(self, attempt: UnansweredAttempt, is_broken: bool) -> None:
+        """Record that an attempt ended unanswered.
+
+        ``is_broken`` is whether its connection broke; otherwise the time ran out or
+        the caller left.
+        """
+        attempt.ended_at = self._clock.monotonic()
+        attempt.is_broken = is_broken
 
-    def record_lost_response(self, engine_id: str, fingerprint: str) -> None:
-        """Record a response that was lost before its start or in the middle."""
-        losses = self._losses_by_engine.setdefault(engine_id, [])
-        losses.append(_LostResponse(self._clock.monotonic(), fingerprint))
+    def heard_from(self, engine_id: str) -> None:
+        """Record a sign of life of an engine; it has outlived the ended attempts."""
+        self._heard_at_by_engine[engine_id] = self._clock.monotonic()
 
-    def record_refused_connection(
-        self, engine_id: str, engine_run: str, domain: str
-    ) -> list[Crash]:
-        """Record a refused connection and return the crashes that it reveals.
+    def has_outlived(self, engine_id: str, at: float) -> bool:
+        """Return whether the engine has given a sign of life after ``at``."""
+        heard_at = self._heard_at_by_engine.get(engine_id, float("-inf"))
+        return heard_at > at + READ_ORDER_SECONDS
 
-        Requests whose responses from the engine were lost just before become
-        suspects. ``domain`` is the failure domain of the engine. Returns an empty
-        list if no response was lost or the whole domain seems cut off.
+    def silent_engines(self, silence_s: float) -> list[str]:
+        """Return the engines that have left an attempt unanswered for so long.
+
+        Those that have given a sign of life within ``silence_s`` seconds aren't among
+        them.
         """
-        now = self._clock.monotonic()
-        losses = self._losses_by_engine.pop(engine_id, [])
-        recent = [
-            loss.fingerprint for loss in losses if loss.at >= now - MAX_LOSS_AGE_SECONDS
+        latest = self._clock.monotonic() - silence_s
+        return [
+            engine_id
+            for engine_id in self._attempts_by_engine
+            if not self.has_outlived(engine_id, latest)
+            and any(a.sent_at <= latest for a in self._open_attempts(engine_id))
         ]
-        last = self._last_refusal_by_domain.get(domain)
-        self._last_refusal_by_domain[domain] = _RefusedConnection(now, engine_id)
-        is_domain_outage = (
-            last is not None
-            and last.engine_id != engine_id
-            and now - last.at < DOMAIN_OUTAGE_SECONDS
+
+    def has_open_attempts(self, engine_id: str) -> bool:
+        """Return whether any attempts would become suspects if the engine had ended."""
+        return bool(self._open_attempts(engine_id))
+
+    def engine_ended(self, engine: Engine) -> list[Crash]:
+        """Record that an engine has ended without notice; return the new crashes."""
+        return self._record_crash(engine, self._open_attempts(engine.id))
+
+    def engine_restarted(self, previous: Engine) -> list[Crash]:
+        """Record that another run has replaced ``previous``; return the new crashes.
+
+        A sign of life may have come from the new run already, so it doesn't clear the
+        attempts whose connections broke.
+        """
+        attempts = self._attempts_by_engine.get(previous.id, [])
+        oldest = self._clock.monotonic() - MAX_ATTEMPT_AGE_SECONDS
+        broken = [a for a in attempts if a.is_broken and a.ended_at >= oldest]
+        open_attempts = self._open_attempts(previous.id)
+        return self._record_crash(
+            previous, broken + [a for a in open_attempts if not a.is_broken]
         )
-        if is_domain_outage and recent:
-            self._dismiss(engine_id, recent, Dismissal.DOMAIN_OUTAGE)
-        if is_domain_outage or not recent:
-            return []
-        return self._suspects.engine_died(engine_id, engine_run, recent)
 
     def expire(self) -> None:
-        """Remove lost responses that are too old to belong to a crash."""
-        oldest = self._clock.monotonic() - MAX_LOSS_AGE_SECONDS
-        for engine_id, losses in list(self._losses_by_engine.items()):
-            kept = [loss for loss in losses if loss.at >= oldest]
-            expired = [loss.fingerprint for loss in losses if loss.at < oldest]
-            if expired:
-                self._dismiss(engine_id, expired, Dismissal.NO_REFUSAL)
+        """Remove attempts that ended too long ago to belong to a crash."""
+        oldest = self._clock.monotonic() - MAX_ATTEMPT_AGE_SECONDS
+        for engine_id, attempts in list(self._attempts_by_engine.items()):
+            kept = [a for a in attempts if a.ended_at is None or a.ended_at >= oldest]
             if kept:
-                self._losses_by_engine[engine_id] = kept
+                self._attempts_by_engine[engine_id] = kept
             else:
-                del self._losses_by_engine[engine_id]
+                del self._attempts_by_engine[engine_id]
+
+    def retain(self, engine_ids: set[str]) -> None:
+        """Drop the signs of life of engines that aren't in ``engine_ids``."""
+        for by_engine in (self._heard_at_by_engine, self._last_end_by_engine):
+            for engine_id in by_engine.keys() - engine_ids:
+                del by_engine[engine_id]
+
+    def _open_attempts(self, engine_id: str) -> list[UnansweredAttempt]:
+        oldest = self._clock.monotonic() - MAX_ATTEMPT_AGE_SECONDS
+        return [
+            attempt
+            for attempt in self._attempts_by_engine.get(engine_id, [])
+            if attempt.ended_at is None
+            or (
+                attempt.ended_at >= oldest
+                and not self.has_outlived(engine_id, attempt.ended_at)
+            )
+        ]
 
-    def take_dismissed(self) -> list[DismissedLoss]:
-        """Return the losses dismissed since the last call."""
-        dismissed, self._dismissed = self._dismissed, []
-        return dismissed
+    def _record_crash(
+        self, engine: Engine, attempts: list[UnansweredAttempt]
+    ) -> list[Crash]:
+        now = self._clock.monotonic()
+        for attempt in attempts:
+            if attempt.ended_at is not None:
+                self._attempts_by_engine[engine.id].remove(attempt)
+        if not attempts:
+            return []
+        run = self._run_name(engine)
+        wall_offset_s = self._clock.wall() - now
+        crashes = [
+            Crash(
+                attempt.fingerprint,
+                engine.id,
+                run,
+                wall_offset_s + (attempt.ended_at or now),
+                attempt.was_running(now),
+            )
+            for attempt in attempts
+        ]
+        self._suspects.merge(crashes, [])
+        return crashes
+
+    def _run_name(self, engine: Engine) -> str:
+        """Return a name for the run that has ended, the same at all VMs if possible.
 
-    def _dismiss(
-        self, engine_id: str, fingerprints: list[str], reason: Dismissal
-    ) -> None:
-        self._dismissed.append(DismissedLoss(engine_id, tuple(fingerprints), reason))
+        Only this VM can tell the run from others if its start time is unknown, or if
+        a run with that start time has ended before and the engine was heard since.
+        """
+        last = self._last_end_by_engine.get(engine.id)
+        if last is not None and last.run_id == engine.run_id:
+            if not self.has_outlived(engine.id, last.at):
+                return last.name
+            is_known = False
+        else:
+            is_known = engine.started_ms > 0
+        name = str(engine.started_ms) if is_known else self._unnamed_run()
+        end = _RunEnd(engine.run_id, name, self._clock.monotonic())
+        self._last_end_by_engine[engine.id] = end
+        return name
+
+    def _unnamed_run(self) -> str:
+        self._unnamed_run_count += 1
+        return f"{self._vm}-{self._unnamed_run_count}"
--- a/dotterelpitch/routing/domain_reachability.py
+++ b/dotterelpitch/routing/domain_reachability.py
@@ -35,6 +35,7 @@
     _clock: Clock
     own_domain: str
     _failed_at_by_engine_by_domain: dict[str, dict[str, float]] = field(factory=dict)
+    _heard_at_by_domain: dict[str, float] = field(factory=dict)
 
     def record_unreachable(self, domain: str, engine_id: str) -> None:
         """Record an engine that didn't answer a connection attempt or sent data."""
@@ -45,6 +46,20 @@
         """Record a response from any engine of a domain."""
         self._failed_at_by_engine_by_domain.pop(domain, None)
 
+    def heard_from(self, domain: str) -> None:
+        """Record bytes from an engine or a peer in a domain."""
+        self._heard_at_by_domain[domain] = self._clock.monotonic()
+
+    def is_reached_since(self, domain: str, at: float) -> bool:
+        """Return whether the network path to a domain has worked since ``at``.
+
+        ``at`` is a time of the monotonic clock. The path to the VM's own domain works
+        if any path does.
+        """
+        if domain == self.own_domain:
+            return any(heard_at >= at for heard_at in self._heard_at_by_domain.values())
+        return self._heard_at_by_domain.get(domain, float("-inf")) >= at
+
     def is_unreachable(self, domain: str) -> bool:
         """Return whether all engines of ``domain`` should be avoided now.
 
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -6,7 +6,7 @@
 register again.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field, frozen
 
@@ -48,7 +48,8 @@
 class EngineDirectory:
     """Registered engines by id, and the recently deregistered ones.
 
-    ``drain_s`` is the drain time of leaving engines in seconds.
+    ``drain_s`` is the drain time of leaving engines in seconds. ``on_restart`` is
+    called with the previous run of an engine that has registered with a later start.
 
     >>> from dotterelpitch.clock import ManualClock
     >>> directory = EngineDirectory(ManualClock())
@@ -62,6 +63,7 @@
 
     _clock: Clock
     drain_s: float = DEFAULT_DRAIN_SECONDS
+    on_restart: Callable[[Engine], None] | None = None
     engine_by_id: dict[str, Engine] = field(factory=dict)
     _first_seen_by_id: dict[str, float] = field(factory=dict)
     _leaving_since_by_id: dict[str, float] = field(factory=dict)
@@ -78,6 +80,8 @@
         is_new_run = previous is None or previous.started_ms != engine.started_ms
         if is_new_run:
             self._first_seen_by_id[engine.id] = self._clock.monotonic()
+        if is_new_run and previous is not None and self.on_restart is not None:
+            self.on_restart(previous)
         if engine.is_leaving:
             now = self._clock.monotonic()
             self._leaving_since_by_id.setdefault(engine.id, now)
--- a/dotterelpitch/routing/route_table.py
+++ b/dotterelpitch/routing/route_table.py
@@ -9,6 +9,8 @@
 
 from attrs import define, field, frozen
 
+DEFAULT_HEALTH_PATH = "/health"
+
 
 class CallKind(StrEnum):
     """Kind of requests of a route, which decides whether they can be retried.
@@ -74,12 +76,14 @@
 
     ``max_connections`` counts the connections of all VMs together, ``slots`` the
     concurrent requests. ``cache_tokens`` is the size of the prompt cache, 0 for
-    engines without prompts.
+    engines without prompts. ``health_path`` is where an engine answers whether it is
+    healthy.
     """
 
     max_connections: int
     slots: int = 0
     cache_tokens: int = 0
+    health_path: str = DEFAULT_HEALTH_PATH
 
 
 @frozen
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -87,6 +87,7 @@
     ATTEMPT_FAILED = (415, logging.WARNING, "an attempt got no usable response")
     CRASH_DISMISSED = (417, logging.INFO, "possible signs of a crash were dismissed")
     CRASHES_REPORTED = (418, logging.INFO, "a peer has reported engine crashes")
+    ENGINE_CHECKED = (419, logging.INFO, "an engine was asked for a sign of life")
     LIMIT_MOVED = (416, logging.INFO, "the limit on requests in flight has changed")
     REQUEST_ENDED = (501, logging.INFO, "a request has its final outcome")
     REQUEST_REFUSED = (503, logging.WARNING, "a request was rejected before it ran")
--- a/dotterelpitch/upstream/pool.py
+++ b/dotterelpitch/upstream/pool.py
@@ -1,25 +1,12 @@
 """A pool of connections to engines, with limits on count and idle time."""
 
-import asyncio
-import socket
-
 from attrs import define, field
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.upstream.connection import EngineConnection
-from dotterelpitch.upstream.errors import (
-    ConnectRefusedError,
-    ConnectTimeoutError,
-    PoolFullError,
-)
-
-# Covers a few round trips between failure domains and one scheduling delay.
-CONNECT_TIMEOUT_SECONDS = 0.1
-# If sent data isn't acknowledged for this long, the network path counts as failed.
-TCP_USER_TIMEOUT_MS = 500
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
+from dotterelpitch.upstream.errors import PoolFullError
+from dotterelpitch.upstream.opening import open_connection
+
 # A connection is kept for this fraction of the idle time that its engine allows, so
 # that it isn't reused while the engine closes it.
 IDLE_LIMIT_FRACTION = 0.6
@@ -68,7 +55,8 @@
         if connection is None:
             if len(connections) >= limit and not self._close_oldest_idle(connections):
                 raise PoolFullError(f"{limit} connections to {engine_id} are in use")
-            connection = await self._open(address)
+            connection = await open_connection(address)
+            self.opened_count += 1
         connections.busy.add(connection)
         return connection
 
@@ -132,38 +120,3 @@
         if connection.is_closing or not connection.is_reusable:
             return False
         return now - connection.idle_since < limit_s
-
-    async def _open(self, address: str) -> EngineConnection:
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        sock = _new_socket()
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                await loop.sock_connect(sock, (host, int(port)))
-            _, connection = await loop.create_connection(EngineConnection, sock=sock)
-        except TimeoutError as error:
-            sock.close()
-            raise ConnectTimeoutError(f"{address}: no answer") from error
-        except OSError as error:
-            sock.close()
-            raise ConnectRefusedError(f"{address}: {error}") from error
-        except BaseException:
-            sock.close()
-            raise
-        self.opened_count += 1
-        return connection
-
-
-def _new_socket() -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-    return sock
--- a/tests/harness/scripted_engine.py
+++ b/tests/harness/scripted_engine.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+HEALTH_PATH = "/health"
+
 Behavior = Callable[["EngineExchange"], Awaitable[None]]
 
 
@@ -60,7 +62,8 @@
     """An HTTP server with scripted answers.
 
     ``script`` holds the behaviors of the next requests; all later requests get
-    ``behavior``. ``exchanges`` records all requests; ``connections`` counts all
+    ``behavior``. ``exchanges`` records all requests but health checks, which the
+    engine answers by itself and ``health_checks`` counts; ``connections`` counts all
     accepted connections.
     """
 
@@ -70,6 +73,7 @@
         self.address = ""
         self.script: list[Behavior] = []
         self.exchanges: list[EngineExchange] = []
+        self.health_checks = 0
         self.connections = 0
         self._server: asyncio.Server | None = None
 
@@ -91,6 +95,9 @@
         self.connections += 1
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while (exchange := await self._read(reader, writer)) is not None:
+                if exchange.target == HEALTH_PATH:
+                    self._answer_health_check(exchange)
+                    continue
                 self.exchanges.append(exchange)
                 behavior = self.script.pop(0) if self.script else self.behavior
                 watcher = asyncio.create_task(_watch_disconnect(reader, exchange))
@@ -100,6 +107,11 @@
                 await writer.drain()
         writer.close()
 
+    def _answer_health_check(self, exchange: EngineExchange) -> None:
+        self.health_checks += 1
+        head = f"HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\nContent-Length: 0\r\n\r\n"
+        exchange.writer.write(head.encode())
+
     async def _read(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> EngineExchange | None:
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -3,8 +3,16 @@
 import pytest
 
 from dotterelpitch.clock import ManualClock
-from dotterelpitch.routing.crash_detector import MAX_LOSS_AGE_SECONDS, CrashDetector
+from dotterelpitch.routing.crash_detector import (
+    MAX_ATTEMPT_AGE_SECONDS,
+    READ_ORDER_SECONDS,
+    START_SECONDS,
+    CrashDetector,
+)
 from dotterelpitch.routing.crash_suspects import CrashSuspects, CrashVerdict
+from dotterelpitch.routing.engines import Engine
+
+FREE, ALONE, BANNED = CrashVerdict.FREE, CrashVerdict.ALONE, CrashVerdict.BANNED
 
 
 @pytest.fixture
@@ -19,54 +27,121 @@
 
 @pytest.fixture
 def detector(clock, suspects):
-    return CrashDetector(clock, suspects)
+    return CrashDetector("vm1", clock, suspects)
+
+
+def engine(engine_id, started_ms=1, domain="a"):
+    return Engine(engine_id, "calls", "10.0.0.1:1", domain, started_ms=started_ms)
+
+
+def lose(detector, engine_id, fingerprint):
+    """Send a request whose connection breaks at once."""
+    attempt = detector.attempt_sent(engine_id, fingerprint)
+    detector.attempt_ended(attempt, is_broken=True)
 
 
 def test_request_in_flight_in_two_crashes_is_banned(detector, suspects):
-    for engine in ("e1", "e2"):
-        detector.record_lost_response(engine, "bad")
-        detector.record_lost_response(engine, f"neighbor at {engine}")
-        assert detector.record_refused_connection(engine, "run1", f"domain of {engine}")
-    assert suspects.verdict("bad") is CrashVerdict.BANNED
-    assert suspects.verdict("neighbor at e1") is CrashVerdict.ALONE
+    for engine_id in ("e1", "e2"):
+        lose(detector, engine_id, "bad")
+        lose(detector, engine_id, f"neighbor at {engine_id}")
+        assert detector.engine_ended(engine(engine_id))
+    assert suspects.verdict("bad") is BANNED
+    assert suspects.verdict("neighbor at e1") is ALONE
 
 
-def test_lost_responses_of_running_engines_are_no_crashes(detector, suspects):
-    for engine in ("e1", "e2", "e3"):
-        detector.record_lost_response(engine, "unlucky")
-    assert suspects.verdict("unlucky") is CrashVerdict.FREE
+# Guards against: a chain of crashes in one failure domain counted as one outage.
+def test_each_crash_of_a_chain_in_one_domain_counts(clock):
+    suspects = CrashSuspects(clock, max_crashes=3)
+    detector = CrashDetector("vm1", clock, suspects)
+    for engine_id in ("e1", "e2", "e3"):
+        assert suspects.verdict("bad") is not BANNED
+        lose(detector, engine_id, "bad")
+        clock.advance(0.2)
+        detector.engine_ended(engine(engine_id, domain="b"))
+    assert suspects.verdict("bad") is BANNED
+
+
+def test_lost_responses_of_running_engines_are_no_crashes(detector, suspects, clock):
+    for engine_id in ("e1", "e2", "e3"):
+        lose(detector, engine_id, "unlucky")
+        clock.advance(2 * READ_ORDER_SECONDS)
+        detector.heard_from(engine_id)
+        assert detector.engine_ended(engine(engine_id)) == []
+    assert suspects.verdict("unlucky") is FREE
 
 
 def test_response_lost_long_before_a_crash_is_not_its_cause(detector, suspects, clock):
-    detector.record_lost_response("e1", "unlucky")
-    clock.advance(MAX_LOSS_AGE_SECONDS + 0.1)
-    assert detector.record_refused_connection("e1", "run1", "a") == []
-    assert suspects.verdict("unlucky") is CrashVerdict.FREE
+    lose(detector, "e1", "unlucky")
+    clock.advance(MAX_ATTEMPT_AGE_SECONDS + 0.1)
+    assert detector.engine_ended(engine("e1")) == []
+    assert suspects.verdict("unlucky") is FREE
+
+
+def test_answered_request_is_not_the_cause_of_a_crash(detector, suspects):
+    attempt = detector.attempt_sent("e1", "answered")
+    detector.attempt_answered("e1", attempt)
+    assert detector.engine_ended(engine("e1")) == []
+
+
+# Guards against: a silent engine's request whose caller has left isn't counted.
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_unanswered_request_at_a_silent_engine_counts(detector, clock, has_ended):
+    attempt = detector.attempt_sent("e1", "bad")
+    clock.advance(0.3)
+    if has_ended:
+        detector.attempt_ended(attempt, is_broken=False)
+    clock.advance(1.0)
+    assert [c.fingerprint for c in detector.engine_ended(engine("e1"))] == ["bad"]
+
+
+@pytest.mark.parametrize(
+    ("silence_s", "heard", "listed"),
+    [(0.3, False, False), (0.5, False, True), (0.5, True, False)],
+)
+def test_silent_engines_with_unanswered_requests_are_listed(
+    detector, clock, silence_s, heard, listed
+):
+    detector.attempt_sent("e1", "bad")
+    clock.advance(silence_s)
+    if heard:
+        detector.heard_from("e1")
+    assert detector.silent_engines(0.4) == (["e1"] if listed else [])
 
 
 def test_crash_of_one_run_counts_once_however_often_it_is_detected(detector, suspects):
-    detector.record_lost_response("e1", "bad")
-    detector.record_refused_connection("e1", "run1", "a")
-    detector.record_refused_connection("e1", "run1", "a")
-    assert suspects.verdict("bad") is CrashVerdict.ALONE
+    for _ in range(2):
+        lose(detector, "e1", "bad")
+        detector.engine_ended(engine("e1"))
+    assert suspects.verdict("bad") is ALONE
+
+
+# Guards against: an engine that returns under its id hides its later crashes.
+@pytest.mark.parametrize("started_ms", [0, 1], ids=["undated", "record not renewed"])
+def test_later_crash_under_the_same_record_counts_again(
+    detector, suspects, clock, started_ms
+):
+    for _ in range(2):
+        lose(detector, "e1", "bad")
+        detector.engine_ended(engine("e1", started_ms))
+        clock.advance(1.0)
+        detector.heard_from("e1")
+        clock.advance(1.0)
+    assert suspects.verdict("bad") is BANNED
+
+
+def test_later_start_under_the_same_id_proves_the_crash_before(detector, suspects):
+    lose(detector, "e1", "bad")
+    detector.heard_from("e1")
+    assert [c.fingerprint for c in detector.engine_restarted(engine("e1"))] == ["bad"]
 
 
 def test_ban_is_replicated_by_digest(detector, suspects, clock):
     other = CrashSuspects(clock)
-    for engine in ("e1", "e2"):
-        detector.record_lost_response(engine, "bad")
-        detector.record_refused_connection(engine, "run1", f"domain of {engine}")
+    for engine_id in ("e1", "e2"):
+        lose(detector, engine_id, "bad")
+        detector.engine_ended(engine(engine_id))
     other.merge(*suspects.digest())
-    assert other.verdict("bad") is CrashVerdict.BANNED
-
-
-def test_domain_outage_counts_as_one_crash(detector, suspects, clock):
-    """Pattern: a partitioned failure domain resets its connections (``zone_cut``)."""
-    for engine in ("e1", "e2", "e3"):
-        detector.record_lost_response(engine, "unlucky")
-        clock.advance(0.2)
-        detector.record_refused_connection(engine, "run1", "b")
-    assert suspects.verdict("unlucky") is CrashVerdict.ALONE
+    assert other.verdict("bad") is BANNED
 
 
 @pytest.mark.parametrize(("crashes", "is_banned"), [(1, False), (2, False), (3, True)])
@@ -74,4 +149,37 @@
     suspects = CrashSuspects(clock, max_crashes=3)
     for n in range(crashes):
         suspects.engine_died(f"e{n}", "run1", ["bad"])
-    assert (suspects.verdict("bad") is CrashVerdict.BANNED) is is_banned
+    assert (suspects.verdict("bad") is BANNED) is is_banned
+
+
+# Guards against: a stream that met three crashes of another request is refused.
+@pytest.mark.parametrize("output_s", [None, 0.1, START_SECONDS + 0.5])
+def test_request_beside_every_crash_of_another_is_served(clock, output_s):
+    suspects = CrashSuspects(clock, max_crashes=3)
+    detector = CrashDetector("vm1", clock, suspects)
+    lose(detector, "e0", "bad")
+    detector.engine_ended(engine("e0"))
+    for engine_id in ("e1", "e2", "e3"):
+        beside = detector.attempt_sent(engine_id, "beside")
+        if output_s is not None:
+            detector.output_started(beside)
+            clock.advance(output_s)
+        lose(detector, engine_id, "bad")
+        detector.attempt_ended(beside, is_broken=True)
+        detector.engine_ended(engine(engine_id))
+    assert suspects.verdict("bad") is BANNED
+    assert suspects.verdict("beside") is ALONE
+
+
+def test_running_request_beside_as_many_crashes_is_served(clock):
+    suspects = CrashSuspects(clock, max_crashes=3)
+    detector = CrashDetector("vm1", clock, suspects)
+    for engine_id in ("e1", "e2", "e3"):
+        beside = detector.attempt_sent(engine_id, "beside")
+        detector.output_started(beside)
+        clock.advance(START_SECONDS + 0.5)
+        lose(detector, engine_id, "bad")
+        detector.attempt_ended(beside, is_broken=True)
+        detector.engine_ended(engine(engine_id))
+    assert suspects.verdict("bad") is BANNED
+    assert suspects.verdict("beside") is ALONE
