Recognise the crash of an engine that returns at once or without a start time

Cause: the check waited 0.1 s before it connected, and when its first connection attempt had no answer and the next one met the returned engine, the engine was taken to have lived on. Later crashes of an undated engine that wasn't heard between them counted as one. Alone in its domain, a VM had no sign that its path to the engine works.

Change: a check connects at once and waits on the open connection for signs of life elsewhere; a response after an unanswered attempt (RETURNED) is the end of a run unless the record would show it; crashes of an undated engine more than 1.5 s apart are two; a VM that reaches the store reaches its own domain.

--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -17,20 +17,17 @@
 from dotterelpitch.routing.health import FailureKind
 from dotterelpitch.routing.route_table import DEFAULT_HEALTH_PATH
 from dotterelpitch.telemetry.events import Event, log_event
-from dotterelpitch.upstream.engine_check import CheckResult, check_engine
+from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
 
 SWEEP_INTERVAL_SECONDS = 0.2
 # An engine that is busy says something more often than this.
 SILENCE_SECONDS = 0.4
 # A slow engine that responds to checks isn't checked again sooner.
 MIN_CHECK_INTERVAL_SECONDS = 1.5
-# An engine that is busy, or that resets connections since it has too many, says
-# something to another request within this time, which saves the check.
-PATIENCE_SECONDS = 0.1
-
-Check = Callable[[str, str, str], Awaitable[CheckResult]]
+RunCheck = Callable[[EngineCheck], Awaitable[CheckResult]]
 
 _FAILURE_BY_RESULT = {
+    CheckResult.RETURNED: FailureKind.REFUSED,
     CheckResult.REPLACED: FailureKind.REFUSED,
     CheckResult.REFUSED: FailureKind.REFUSED,
     CheckResult.BROKEN: FailureKind.REFUSED,
@@ -49,13 +46,13 @@
         clock: Clock,
         state: GatewayState,
         tracker: EngineTracker,
-        check: Check = check_engine,
+        run_check: RunCheck = EngineCheck.run,
     ) -> None:
         self._clock = clock
         self._state = state
         self._tracker = tracker
         self._detector = tracker.crash_detector
-        self._check = check
+        self._run_check = run_check
         self._task_by_engine: dict[str, asyncio.Task] = {}
         self._checked_at_by_engine: dict[str, float] = {}
 
@@ -111,28 +108,26 @@
 
     async def _check_engine(self, engine: Engine) -> None:
         began = self._clock.monotonic()
-        await asyncio.sleep(PATIENCE_SECONDS)
-        if self._detector.has_outlived(engine.id, began):
-            return
-        result = await self._check(engine.id, engine.address, self._health_path(engine))
+        check = EngineCheck(
+            engine.id,
+            engine.address,
+            self._health_path(engine),
+            is_needed=lambda: not self._detector.has_outlived(engine.id, began),
+        )
+        result = await self._run_check(check)
         log_event(
             Event.ENGINE_CHECKED,
             engine=engine.id,
             result=result,
             seconds=round(self._clock.monotonic() - began, 3),
         )
-        if result is CheckResult.RESPONDED:
+        if _is_alive(engine, result):
             self._tracker.heard_from(engine)
-        elif result is CheckResult.REFUSED or not self._detector.has_outlived(
-            engine.id, began
-        ):
+        elif result is CheckResult.REFUSED or check.is_needed():
             self._engine_failed(engine, result, began)
 
     def _engine_failed(self, engine: Engine, result: CheckResult, began: float) -> None:
-        reach = self._tracker.domain_reachability
-        if result is CheckResult.SILENT and not reach.is_reached_since(
-            engine.failure_domain, began
-        ):
+        if result is CheckResult.SILENT and not self._is_path_up(engine, began):
             log_event(
                 Event.CRASH_DISMISSED,
                 engine=engine.id,
@@ -141,7 +136,28 @@
             return
         self._tracker.record_engine_end(engine, _FAILURE_BY_RESULT[result], result)
 
+    def _is_path_up(self, engine: Engine, since: float) -> bool:
+        """Return whether the network path to the engine has worked since then.
+
+        Nothing separates a VM that reaches the store from its own failure domain.
+        """
+        reach = self._tracker.domain_reachability
+        if reach.is_reached_since(engine.failure_domain, since):
+            return True
+        is_own = engine.failure_domain == reach.own_domain
+        return is_own and self._state.confirmed_at >= since
+
     def _health_path(self, engine: Engine) -> str:
         config = self._state.config
         service = config.service_by_name.get(engine.service) if config else None
         return service.health_path if service else DEFAULT_HEALTH_PATH
+
+
+def _is_alive(engine: Engine, result: CheckResult) -> bool:
+    """Return whether a check has shown that the engine's run goes on.
+
+    If its start time is known, another run would show by its record.
+    """
+    if result is CheckResult.RETURNED:
+        return engine.started_ms > 0
+    return result in (CheckResult.RESPONDED, CheckResult.UNNEEDED)
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -20,6 +20,8 @@
 # Bytes of other responses, sent before a crash, may be read this long after the
 # connection of a request was found broken.
 READ_ORDER_SECONDS = 0.05
+# Later signs of an end of an engine without a known start time are of another run.
+SAME_CRASH_SECONDS = 1.5
 # An engine that has been sending a response for this long has survived its start.
 START_SECONDS = 1.0
 
@@ -209,17 +211,23 @@
         a run with that start time has ended before and the engine was heard since.
         """
         last = self._last_end_by_engine.get(engine.id)
-        if last is not None and last.run_id == engine.run_id:
-            if not self.has_outlived(engine.id, last.at):
-                return last.name
-            is_known = False
-        else:
-            is_known = engine.started_ms > 0
-        name = str(engine.started_ms) if is_known else self._unnamed_run()
+        is_first = last is None or last.run_id != engine.run_id
+        if not is_first and not self._has_run_again(engine, last):
+            return last.name
+        name = str(engine.started_ms)
+        if not (is_first and engine.started_ms):
+            name = self._unnamed_run()
         end = _RunEnd(engine.run_id, name, self._clock.monotonic())
         self._last_end_by_engine[engine.id] = end
         return name
 
+    def _has_run_again(self, engine: Engine, last: _RunEnd) -> bool:
+        """Return whether the engine has run again since its last end."""
+        if self.has_outlived(engine.id, last.at):
+            return True
+        elapsed_s = self._clock.monotonic() - last.at
+        return not engine.started_ms and elapsed_s >= SAME_CRASH_SECONDS
+
     def _unnamed_run(self) -> str:
         self._unnamed_run_count += 1
         return f"{self._vm}-{self._unnamed_run_count}"
--- a/dotterelpitch/upstream/engine_check.py
+++ b/dotterelpitch/upstream/engine_check.py
@@ -1,8 +1,11 @@
 """Asks an engine for a sign of life, on a connection of its own."""
 
 import asyncio
+from collections.abc import Callable
 from enum import StrEnum
 
+from attrs import frozen
+
 from dotterelpitch.platform.headers import decode_engine_id
 from dotterelpitch.upstream.connection import EngineConnection
 from dotterelpitch.upstream.errors import (
@@ -15,6 +18,9 @@
 from dotterelpitch.upstream.request_bytes import encode_request
 
 CHECK_TIMEOUT_SECONDS = 1.0
+# An engine that is busy, or that resets connections since it has too many, says
+# something to another request within this time, which saves the health request.
+PATIENCE_SECONDS = 0.1
 # Several connection attempts fit in the timeout, since a packet may be lost.
 CONNECT_TIMEOUT_SECONDS = 0.3
 
@@ -22,59 +28,78 @@
 class CheckResult(StrEnum):
     """Result of a check; the values are logged.
 
-    RESPONDED is any response but that of another engine, which is REPLACED. REFUSED
-    means that nothing listens, BROKEN that the connection ended without a response,
-    and SILENT that there was no sign of life within the timeout.
+    RESPONDED is any response but that of another engine, which is REPLACED; RETURNED
+    is one after a connection attempt without an answer. REFUSED means that nothing
+    listens, BROKEN that the connection ended without a response, and SILENT that
+    there was no sign of life within the timeout. UNNEEDED means that the engine
+    accepted a connection and had given a sign of life elsewhere.
     """
 
+    UNNEEDED = "unneeded"
     RESPONDED = "responded"
+    RETURNED = "returned"
     REPLACED = "replaced"
     REFUSED = "refused"
     BROKEN = "broken"
     SILENT = "silent"
 
 
-async def check_engine(
-    engine_id: str,
-    address: str,
-    health_path: str,
-    timeout_s: float = CHECK_TIMEOUT_SECONDS,
-) -> CheckResult:
-    """Return what a health request to the engine at ``address`` meets."""
-    try:
-        async with asyncio.timeout(timeout_s):
-            connection = await _connect(address)
+@frozen
+class EngineCheck:
+    """A check of one engine.
+
+    ``is_needed`` returns whether the engine still hasn't given a sign of life
+    elsewhere. Times are in seconds.
+    """
+
+    engine_id: str
+    address: str
+    health_path: str
+    is_needed: Callable[[], bool]
+    patience_s: float = PATIENCE_SECONDS
+    timeout_s: float = CHECK_TIMEOUT_SECONDS
+
+    async def run(self) -> CheckResult:
+        """Return what a connection and a health request to the engine meet."""
+        try:
+            async with asyncio.timeout(self.timeout_s):
+                return await self._run()
+        except ConnectRefusedError:
+            return CheckResult.REFUSED
+        except (TimeoutError, PathLostError):
+            return CheckResult.SILENT
+        except AnswerLostError:
+            return CheckResult.BROKEN
+
+    async def _run(self) -> CheckResult:
+        connection, failed_attempts = await self._connect()
+        try:
+            await asyncio.sleep(self.patience_s)
+            if not self.is_needed():
+                return CheckResult.UNNEEDED
+            answering_id = await self._request_health(connection)
+        finally:
+            connection.close()
+        if answering_id not in ("", self.engine_id):
+            return CheckResult.REPLACED
+        return CheckResult.RETURNED if failed_attempts else CheckResult.RESPONDED
+
+    async def _connect(self) -> tuple[EngineConnection, int]:
+        """Return a connection, and how many attempts before it had no answer."""
+        failed_attempts = 0
+        while True:
             try:
-                return await _request_health(
-                    connection, engine_id, address, health_path
+                connection = await open_connection(
+                    self.address, CONNECT_TIMEOUT_SECONDS
                 )
-            finally:
-                connection.close()
-    except ConnectRefusedError:
-        return CheckResult.REFUSED
-    except (TimeoutError, PathLostError):
-        return CheckResult.SILENT
-    except AnswerLostError:
-        return CheckResult.BROKEN
-
-
-async def _connect(address: str) -> EngineConnection:
-    """Return a connection, trying until cancelled while there is no answer."""
-    while True:
-        try:
-            return await open_connection(address, CONNECT_TIMEOUT_SECONDS)
-        except ConnectTimeoutError:
-            continue
-
-
-async def _request_health(
-    connection: EngineConnection, engine_id: str, address: str, health_path: str
-) -> CheckResult:
-    headers = [("Host", address), ("Connection", "close")]
-    request = encode_request("GET", health_path, headers, b"")
-    connection.send(request, request_id="")
-    head = await connection.read_head()
-    answering_id = decode_engine_id(head.value_by_name)
-    if answering_id and answering_id != engine_id:
-        return CheckResult.REPLACED
-    return CheckResult.RESPONDED
+                return connection, failed_attempts
+            except ConnectTimeoutError:
+                failed_attempts += 1
+
+    async def _request_health(self, connection: EngineConnection) -> str:
+        """Return the id of the engine that answers, or "" if it doesn't say."""
+        headers = [("Host", self.address), ("Connection", "close")]
+        request = encode_request("GET", self.health_path, headers, b"")
+        connection.send(request, request_id="")
+        head = await connection.read_head()
+        return decode_engine_id(head.value_by_name)
--- a/tests/test_crash_watcher.py
+++ b/tests/test_crash_watcher.py
@@ -2,16 +2,21 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from dotterelpitch.clock import SteadyClock
-from dotterelpitch.gateway.crash_watcher import PATIENCE_SECONDS, CrashWatcher
+from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.routing.crash_suspects import CrashVerdict
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.health import HealthState
-from dotterelpitch.upstream.engine_check import CheckResult, check_engine
+from dotterelpitch.upstream.engine_check import (
+    PATIENCE_SECONDS,
+    CheckResult,
+    EngineCheck,
+)
 from tests.harness.ports import free_address
 from tests.harness.scripted_engine import ScriptedEngine
 from tests.harness.waiting import pause
@@ -23,20 +28,23 @@
 
 
 class WatchedVm:
-    """A watcher whose checks return ``result`` after a moment; counts the checks."""
+    """A watcher whose checks return ``result``; counts its health requests."""
 
     def __init__(self, result):
         self.clock = SteadyClock()
         self.tracker = EngineTracker(self.clock, "vm1", "a")
         self.state = GatewayState(self.clock)
-        self.checks = 0
+        self.health_requests = 0
         self.watcher = CrashWatcher(self.clock, self.state, self.tracker, self._check)
         self._result = result
         for engine in (ENGINE, OTHER, OWN):
             self.state.directory.put(engine)
 
-    async def _check(self, engine_id, address, health_path):
-        self.checks += 1
+    async def _check(self, check):
+        await pause(PATIENCE_SECONDS)
+        if self._result is not CheckResult.REFUSED and not check.is_needed():
+            return CheckResult.UNNEEDED
+        self.health_requests += 1
         await pause(CHECK_SECONDS)
         return self._result
 
@@ -92,22 +100,34 @@
     assert vm.is_crash
 
 
-async def test_engine_that_answers_others_meanwhile_is_not_checked():
-    vm = WatchedVm(CheckResult.REFUSED)
+async def test_engine_that_answers_others_meanwhile_gets_no_health_request():
+    vm = WatchedVm(CheckResult.BROKEN)
     vm.lose(ENGINE)
     await pause(PATIENCE_SECONDS * 0.8)
     vm.watcher.heard_from(ENGINE)
     await vm.settle()
-    assert vm.checks == 0
+    assert vm.health_requests == 0
     assert not vm.is_crash
 
 
+@pytest.mark.parametrize(("started_ms", "is_crash"), [(0, True), (1, False)])
+async def test_return_during_a_check_is_a_crash_unless_the_record_tells(
+    started_ms, is_crash
+):
+    vm = WatchedVm(CheckResult.RETURNED)
+    engine = attrs.evolve(ENGINE, started_ms=started_ms)
+    vm.state.directory.put(engine)
+    vm.lose(engine)
+    await vm.settle()
+    assert vm.is_crash is is_crash
+
+
 async def test_losses_at_one_engine_share_a_check():
-    vm = WatchedVm(CheckResult.REFUSED)
+    vm = WatchedVm(CheckResult.BROKEN)
     for n in range(20):
         vm.lose(ENGINE, f"call {n}")
     await vm.settle()
-    assert vm.checks == 1
+    assert vm.health_requests == 1
 
 
 # Guards against: a request that waits at a silent engine is never missed.
@@ -120,6 +140,10 @@
     assert vm.is_crash
 
 
+def make_check(engine_id, address, **limits):
+    return EngineCheck(engine_id, address, "/health", lambda: True, **limits)
+
+
 async def _close(reader, writer):
     writer.close()
 
@@ -140,7 +164,7 @@
     address = free_address()
     host, _, port = address.rpartition(":")
     server = await asyncio.start_server(handler, host, int(port)) if handler else None
-    assert await check_engine("e1", address, "/health", timeout_s=0.3) is result
+    assert await make_check("e1", address, timeout_s=0.4).run() is result
     if server is not None:
         server.close()
 
@@ -154,6 +178,15 @@
 ):
     engine = ScriptedEngine("e1")
     await engine.start(free_address())
-    assert await check_engine(engine_id, engine.address, "/health") is result
+    assert await make_check(engine_id, engine.address).run() is result
     assert engine.health_checks == 1
     await engine.stop()
+
+
+async def test_check_of_an_engine_that_was_heard_meanwhile_sends_no_request():
+    engine = ScriptedEngine("e1")
+    await engine.start(free_address())
+    check = EngineCheck("e1", engine.address, "/health", lambda: False)
+    assert await check.run() is CheckResult.UNNEEDED
+    assert engine.health_checks == 0
+    await engine.stop()
