Soak gateways under a content that crashes engines

The soak has the incident as a fault: for 8 s one content comes every 0.4 s at any VM, each engine that runs it ends, visibly or in silence, and is back after 0.5 to 3 s under its id with a later start. Two checks: such a content reaches engines at most three times later than 3 s after its third crash, from VMs without a fault in the 3 s before, cut peers included; and no other request is refused as if it crashed engines.

--- a/tests/harness/gateway_soak/checks.py
+++ b/tests/harness/gateway_soak/checks.py
@@ -3,7 +3,13 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
+from tests.harness.crash_drill.drill import (
+    MAX_CRASHES_BEFORE_STOP,
+    MAX_LATE_ARRIVALS,
+    STOP_SECONDS,
+)
 from tests.harness.gateway_fleet import ACCOUNT
+from tests.harness.gateway_soak.engine import CRASH_ID_PREFIX
 from tests.harness.gateway_soak.fleet import (
     BASE_ROUTES,
     DRAIN_SECONDS,
@@ -16,6 +22,7 @@
     RECOVERY_SECONDS,
     SCHEDULING_MARGIN_SECONDS,
     STORE,
+    CrashArrival,
     History,
     Run,
     SentRequest,
@@ -152,6 +159,38 @@
             return
 
 
+def crashing_requests_stop(history: History) -> Violations:
+    """A content that crashes engines soon reaches no engine any more.
+
+    A few arrivals later than that are allowed; those sent by gateways with a fault
+    don't count.
+    """
+    arrivals_by_content: dict[str, list[CrashArrival]] = defaultdict(list)
+    for arrival in history.crash_arrivals:
+        arrivals_by_content[arrival.content].append(arrival)
+    for content, arrivals in arrivals_by_content.items():
+        if len(arrivals) < MAX_CRASHES_BEFORE_STOP:
+            continue
+        until = arrivals[MAX_CRASHES_BEFORE_STOP - 1].at + STOP_SECONDS
+        late = [
+            arrival
+            for arrival in arrivals
+            if arrival.at > until
+            and history.is_fault_free(
+                (arrival.vm, STORE), arrival.at - RECOVERY_SECONDS, arrival.at
+            )
+        ]
+        if len(late) > MAX_LATE_ARRIVALS:
+            yield f"{content} reached engines {len(late)} times too late"
+
+
+def only_crashing_requests_are_banned(history: History) -> Violations:
+    """A request that was only beside a crash isn't refused for it."""
+    for request_id in history.banned_ids:
+        if not request_id.startswith(CRASH_ID_PREFIX):
+            yield f"{request_id} was refused as if it crashed engines"
+
+
 def work_stops_when_callers_disconnect(history: History) -> Violations:
     """Engines stop soon after a caller disconnects from a fault-free gateway.
 
@@ -227,6 +266,8 @@
     removed_engines_get_no_requests,
     attempts_are_bounded,
     retries_stay_within_budget,
+    crashing_requests_stop,
+    only_crashing_requests_are_banned,
     work_stops_when_callers_disconnect,
     planned_stops_cut_no_requests,
     answers_meet_their_deadline,
--- a/tests/harness/gateway_soak/engine.py
+++ b/tests/harness/gateway_soak/engine.py
@@ -4,8 +4,9 @@
 import hashlib
 import random
 import time
+from collections.abc import Callable
 
-from tests.harness.gateway_soak.history import History, Run
+from tests.harness.gateway_soak.history import CrashArrival, History, Run
 from tests.harness.proxy import FaultProxy
 from tests.harness.scripted_engine import EngineExchange, ScriptedEngine
 
@@ -13,6 +14,8 @@
 WORK_SECONDS = (0.002, 0.03)
 # The share of its requests that a failing engine fails.
 FAILURE_SHARE = 0.3
+# The ids of requests that crash engines: this, the content's name, VM, and number.
+CRASH_ID_PREFIX = "crash"
 
 
 def seal(request_id: str, body: bytes) -> str:
@@ -39,11 +42,20 @@
     """An engine behind a fault proxy.
 
     ``failure_mode`` is one of ``faults.FAILURE_MODES`` while the engine fails some
-    of its requests, and empty otherwise.
+    of its requests, and empty otherwise. ``on_crash`` is called when a request crashes
+    the engine.
     """
 
-    def __init__(self, engine_id: str, service: str, domain: str, history: History):
+    def __init__(
+        self,
+        engine_id: str,
+        service: str,
+        domain: str,
+        history: History,
+        on_crash: Callable[["SoakEngine"], None],
+    ):
         self.id = engine_id
+        self._on_crash = on_crash
         self.service = service
         self.domain = domain
         self.started_ms = int(time.time() * 1000)
@@ -83,6 +95,9 @@
 
     async def _handle(self, exchange: EngineExchange) -> None:
         request_id = exchange.header("Request-Id")
+        if request_id.startswith(CRASH_ID_PREFIX):
+            await self._crash(exchange, request_id)
+            return
         run = Run(
             request_id,
             self.id,
@@ -96,9 +111,7 @@
         self._history.runs.append(run)
         if exchange.header("Expect-Instance") != self.id:
             run.ran = False
-            exchange.write_head(
-                "421 Misdirected", "Not-Executed: 1", "Content-Length: 0"
-            )
+            _write_misdirected(exchange)
             return
         fails = bool(self.failure_mode) and self._random.random() < FAILURE_SHARE
         try:
@@ -106,6 +119,15 @@
         finally:
             run.ended = time.monotonic()
 
+    async def _crash(self, exchange: EngineExchange, request_id: str) -> None:
+        if exchange.header("Expect-Instance") != self.id:
+            _write_misdirected(exchange)
+            return
+        _, content, vm, _ = request_id.split("-")
+        self._history.crash_arrivals.append(CrashArrival(content, vm, time.monotonic()))
+        self._on_crash(self)
+        await exchange.caller_left.wait()
+
     async def _answer(
         self, exchange: EngineExchange, request_id: str, failure_mode: str
     ):
@@ -162,6 +184,10 @@
     return f"body of {request_id}".encode()
 
 
+def _write_misdirected(exchange: EngineExchange) -> None:
+    exchange.write_head("421 Misdirected", "Not-Executed: 1", "Content-Length: 0")
+
+
 def _write_head(exchange: EngineExchange, request_id: str, *lines: str) -> None:
     head = [
         "HTTP/1.1 200 OK",
--- a/tests/harness/gateway_soak/faults.py
+++ b/tests/harness/gateway_soak/faults.py
@@ -12,6 +12,9 @@
 from tests.harness.waiting import pause
 
 EXTRA_DRAIN_SECONDS = 0.5
+# A content that crashes engines comes for so long, with this time between.
+CRASH_CONTENT_SECONDS = 8.0
+CRASH_CONTENT_INTERVAL_SECONDS = 0.4
 FAILURE_MODES = ("errors", "lost", "cut", "extra", "slow")
 
 
@@ -26,6 +29,7 @@
         self._fleet = fleet
         self._traffic = traffic
         self._random = fleet.random
+        self._crash_content_count = 0
 
     def kinds(self) -> list[Callable[[float], Awaitable[None]]]:
         """Return every kind of fault."""
@@ -49,6 +53,7 @@
             self.reset_engine,
             self.silence_engine,
             self.release_engine,
+            self.crash_engines,
             self.change_config,
             self.change_configs_quickly,
             self.surge,
@@ -241,6 +246,17 @@
         await engine.stop()
         span.ended = self._now()
 
+    async def crash_engines(self, seconds: float) -> None:
+        """Send one content that crashes engines again and again, at any VM."""
+        self._crash_content_count += 1
+        content = f"content{self._crash_content_count}"
+        until = self._now() + CRASH_CONTENT_SECONDS
+        sent = set()
+        while self._now() < until:
+            sent.add(asyncio.create_task(self._traffic.send_crashing(content)))
+            await pause(CRASH_CONTENT_INTERVAL_SECONDS)
+        await asyncio.gather(*sent)
+
     async def change_config(self, seconds: float) -> None:
         """Write a config version that adds or removes a route and a key."""
         self._change_routes_and_keys()
--- a/tests/harness/gateway_soak/fleet.py
+++ b/tests/harness/gateway_soak/fleet.py
@@ -12,7 +12,12 @@
 
 from tests.harness.gateway_fleet import GatewayProcess, make_config
 from tests.harness.gateway_soak.engine import SoakEngine
-from tests.harness.gateway_soak.history import BASE_KEY, ConfigVersion, History
+from tests.harness.gateway_soak.history import (
+    BASE_KEY,
+    ENGINES,
+    ConfigVersion,
+    History,
+)
 from tests.harness.platform_store import PlatformStore
 from tests.harness.ports import free_address
 from tests.harness.proxy import FaultProxy
@@ -41,6 +46,8 @@
 RETRY_SLACK = 40
 DRAIN_SECONDS = 2.0
 READY_CHECK_SECONDS = 0.5
+# How long an engine is down that a request has crashed.
+CRASH_SECONDS_RANGE = (0.5, 3.0)
 
 
 @attrs.define
@@ -91,6 +98,7 @@
         self._version = 0
         self._engine_count = 0
         self._balancer: asyncio.Task | None = None
+        self._crash_tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Start all processes and wait until all gateways are ready."""
@@ -111,6 +119,8 @@
         """Stop everything that this fleet started."""
         if self._balancer is not None:
             self._balancer.cancel()
+        for task in self._crash_tasks:
+            task.cancel()
         for vm in self.vms:
             await vm.gateway.process.kill()
             await vm.store_proxy.stop()
@@ -146,7 +156,9 @@
     ) -> SoakEngine:
         """Start and register a new engine, at the address of ``proxy`` if given."""
         self._engine_count += 1
-        engine = SoakEngine(f"e{self._engine_count}", service, domain, self.history)
+        engine = SoakEngine(
+            f"e{self._engine_count}", service, domain, self.history, self._crash_engine
+        )
         await engine.start(free_address(), proxy)
         if proxy is not None:
             proxy.accept_again()
@@ -176,6 +188,27 @@
         if with_signal:
             vm.gateway.process.send_signal(signal.SIGHUP)
 
+    def _crash_engine(self, engine: SoakEngine) -> None:
+        """End the run of an engine, visibly or in silence, and start it again later."""
+        if self.random.random() < 0.5:
+            engine.proxy.refuse()
+        else:
+            engine.proxy.cut()
+        task = asyncio.create_task(self._return_engine(engine))
+        self._crash_tasks.add(task)
+        task.add_done_callback(self._crash_tasks.discard)
+
+    async def _return_engine(self, engine: SoakEngine) -> None:
+        span = self.history.begin_fault("crash_engine", ENGINES)
+        await pause(self.random.uniform(*CRASH_SECONDS_RANGE))
+        if self.engine_by_id.get(engine.id) is engine:
+            engine.started_ms = int(time.time() * 1000)
+            engine.proxy.reset()
+            engine.proxy.heal()
+            engine.proxy.accept_again()
+            self.register_engine(engine)
+        span.ended = time.monotonic()
+
     async def _add_vm(self, name: str, domain: str) -> None:
         gateway = GatewayProcess(
             name, self._folder, free_address(), [], mesh_vms=MESH_VMS
--- a/tests/harness/gateway_soak/history.py
+++ b/tests/harness/gateway_soak/history.py
@@ -62,6 +62,19 @@
     ended: float = 0.0
 
 
+@attrs.frozen
+class CrashArrival:
+    """The arrival of a request that crashes the engine which runs it.
+
+    ``content`` names the content, which comes again with other request ids, and
+    ``vm`` the gateway that was sent the request; ``at`` is a monotonic time.
+    """
+
+    content: str
+    vm: str
+    at: float
+
+
 @attrs.define
 class FaultSpan:
     """The duration of a fault of a VM, the store, the engines, or the peer links.
@@ -97,6 +110,8 @@
 
     ``removed_at_by_engine`` holds monotonic times in seconds, and
     ``final_served_share`` the share of requests served after the last fault.
+    ``banned_ids`` are the ids of requests that gateways refused since they crash
+    engines.
     """
 
     sent: list[SentRequest] = attrs.field(factory=list)
@@ -106,6 +121,8 @@
     removed_at_by_engine: dict[str, float] = attrs.field(factory=dict)
     exit_code_by_stop: dict[str, int] = attrs.field(factory=dict)
     unexpected_exits: list[str] = attrs.field(factory=list)
+    crash_arrivals: list[CrashArrival] = attrs.field(factory=list)
+    banned_ids: list[str] = attrs.field(factory=list)
     final_served_share: float = 0.0
 
     def begin_fault(self, name: str, target: str, is_planned=False) -> FaultSpan:
--- a/tests/harness/gateway_soak/runner.py
+++ b/tests/harness/gateway_soak/runner.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from dotterelpitch.telemetry.events import Event
 from tests.harness.gateway_soak.checks import outcome_counts, violations
 from tests.harness.gateway_soak.faults import Faults
 from tests.harness.gateway_soak.fleet import SoakFleet
@@ -18,6 +19,7 @@
 WARM_UP_SECONDS = 2.0
 SETTLE_SECONDS = 4.0
 FINAL_REQUESTS = 60
+BANNED_EVENT = Event.REQUEST_BANNED.number
 
 
 @attrs.define
@@ -53,6 +55,11 @@
     finally:
         await fleet.stop()
     history = fleet.history
+    history.banned_ids = [
+        event["request"]
+        for vm in fleet.vms
+        for event in vm.gateway.process.events(BANNED_EVENT)
+    ]
     return SoakResult(
         seed,
         violations(history),
--- a/tests/harness/gateway_soak/traffic.py
+++ b/tests/harness/gateway_soak/traffic.py
@@ -1,12 +1,14 @@
 """Callers that reuse connections, cancel some requests, and send invalid ones."""
 
 import asyncio
+import contextlib
 import time
 
 import aiohttp
 
 from tests.harness.gateway_fleet import HOST
 from tests.harness.gateway_soak.engine import (
+    CRASH_ID_PREFIX,
     event,
     event_count,
     plain_body,
@@ -78,6 +80,25 @@
         await self._exchange(sent, None)
         return sent
 
+    async def send_crashing(self, content: str) -> None:
+        """Send a request with this content, which crashes engines, at a random VM."""
+        self._count += 1
+        vm = self._pick_vm()
+        request_id = f"{CRASH_ID_PREFIX}-{content}-{vm.name}-{self._count}"
+        headers = {
+            "Host": HOST,
+            "Request-Id": request_id,
+            "Credential": self._fleet.keys[0],
+            "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+        }
+        url = f"http://{vm.gateway.caller_address}/safe/{content}"
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with (
+                asyncio.timeout(DEADLINE_SECONDS),
+                self._session.post(url, headers=headers, data=content) as answer,
+            ):
+                await answer.read()
+
     def _new_request(self, route: str, key: str) -> SentRequest:
         self._count += 1
         vm = self._pick_vm()
