--- a/tests/harness/gateway_soak/fleet.py
+++ b/tests/harness/gateway_soak/fleet.py
@@ -176,8 +176,8 @@
 
     async def restart(self, vm: SoakVm) -> None:
         """Start the process of a VM again and wait until it is ready or a timeout."""
-        vm.is_down = False
         await vm.gateway.process.start()
+        vm.is_down = False
         with contextlib.suppress(AssertionError):
             await vm.gateway.wait_ready()
 
