Check a router's engine for a crash also when a request times out

A request under which engines fall silent was never a crash suspect at a router, since only a broken connection led to the check.

Change: a timeout leads to the same check, a load report within 1 s; an engine that is only slow answers it and nothing follows. The new test pauses the engine of a running chat: before, no event 408 within 10 s; now it comes and the chat is complete.

--- a/dotterelpitch/router/chat_owner.py
+++ b/dotterelpitch/router/chat_owner.py
@@ -37,6 +37,8 @@
 REFUSED_RETRY_AFTER_SECONDS = 1.0
 ENDS_WITHOUT_ENGINE_FAULT = (CallEnd.COMPLETE, CallEnd.CALLER_GONE)
 ENDS_WITH_ENGINE_RESPONSE = (CallEnd.SERVER_ERROR, CallEnd.NOT_LOADED)
+# A crashed engine breaks its connections, or falls silent if its machine is gone.
+ENDS_THAT_MAY_BE_CRASHES = (CallEnd.BROKEN, CallEnd.TIMEOUT)
 
 
 @frozen
@@ -199,7 +201,7 @@
 
     async def _report_failure(self, dispatch: _Dispatch, result: CallResult) -> None:
         service, engine = dispatch.service, dispatch.engine
-        if result.end is CallEnd.BROKEN:
+        if result.end in ENDS_THAT_MAY_BE_CRASHES:
             await self._monitor.check_for_crash(service, engine)
         if result.end is not CallEnd.NOT_LOADED:
             self._monitor.record_failure(
--- a/tests/test_routing_fleet.py
+++ b/tests/test_routing_fleet.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from dotterelpitch.documents.model import ClientAccount
+from dotterelpitch.documents.model import ClientAccount, Timeouts
 from dotterelpitch.protocol.connection import dial
 from dotterelpitch.protocol.explain_messages import ExplainRequest
 from dotterelpitch.protocol.handshake import Identity
@@ -61,6 +61,29 @@
         assert again.is_complete, again.error
 
 
+# Guards against: only an engine that breaks its connections counts as crashed.
+async def test_an_engine_that_falls_silent_under_a_request_counts_as_crashed():
+    timeouts = Timeouts(first_token=1.0, between_tokens=1.0)
+    fleet_shape = shape(
+        domains=1,
+        engines_per_domain=2,
+        engine_flags=SLOW,
+        document_changes={"timeouts": timeouts},
+    )
+    async with Fleet(fleet_shape) as fleet:
+        (vm,) = fleet.vm_by_name.values()
+        call = asyncio.create_task(
+            fleet.caller(vm.name).chat(MODEL, HELLO, chat="c", max_tokens=200)
+        )
+        (chosen, *_) = await eventually(lambda: vm.router.events(401), 10.0, "a choice")
+        engine = fleet.endpoint_by_name[chosen["engine"]]
+        engine.process.pause()
+        (died, *_) = await eventually(lambda: vm.router.events(408), 10.0, "a crash")
+        assert died["engine"] == engine.name
+        engine.process.resume()
+        assert (await call).is_complete
+
+
 @pytest.mark.parametrize(
     ("limits", "calls", "allowed"),
     [
