Play the drill with many calls beside the crashes, each sent once more

The drill's other calls may take long, come back once after a failure, and must never be refused as if they crashed engines.

--- a/tests/harness/crash_drill/drill.py
+++ b/tests/harness/crash_drill/drill.py
@@ -1,6 +1,7 @@
 """Plays a request that crashes engines against real gateways, beside other calls."""
 
 import asyncio
+import json
 import random
 import time
 from pathlib import Path
@@ -8,6 +9,7 @@
 import aiohttp
 import attrs
 
+from dotterelpitch.telemetry.events import Event
 from tests.harness.crash_drill.engine import (
     CRASH_BODY,
     Arrival,
@@ -42,7 +44,8 @@
     ``domains`` are the failure domains over which gateways and engines are spread
     in turn. ``crash_interval_s`` is the time between two requests with the content
     that crashes engines, each at ``copies`` gateways at once; ``calls_per_s`` is the
-    rate of other calls over all gateways. Ended engines return after ``down_s``.
+    rate of other calls over all gateways; each takes ``work_s`` and is sent once more
+    if it fails. Ended engines return after ``down_s``.
     """
 
     gateways: int = 4
@@ -56,20 +59,20 @@
     copies: int = 1
     route: str = "safe"
     calls_per_s: float = 20.0
+    work_s: float = 0.02
     mesh_vms: int = 16
     seed: int = 1
 
 
 @attrs.define
 class CallRecord:
-    """A call of a caller and its status, 0 without a response."""
+    """A call of a caller and the status of its last attempt, 0 without a response."""
 
     request_id: str
     vm: str
     crashes: bool
     at: float
     status: int = 0
-    ended: float = 0.0
 
 
 @attrs.define
@@ -98,6 +101,18 @@
         until = crashes[MAX_CRASHES_BEFORE_STOP - 1].at + STOP_SECONDS
         return [a for a in crashes if a.at > until]
 
+    @property
+    def wrongly_banned_ids(self) -> list[str]:
+        """The requests refused as crashing engines that don't crash any."""
+        crashing = {call.request_id for call in self.calls if call.crashes}
+        banned = [
+            event["request"]
+            for log in self.logs.values()
+            for event in map(json.loads, log.splitlines())
+            if event["event"] == Event.REQUEST_BANNED.number
+        ]
+        return [request_id for request_id in banned if request_id not in crashing]
+
     def unserved_calls(self, since_s: float) -> list[CallRecord]:
         """Return the other calls sent ``since_s`` after the begin and not served."""
         return [
@@ -114,7 +129,8 @@
         served = sum(call.status == 200 for call in others)
         return (
             f"{len(self.crash_arrivals)} runs, {len(self.late_arrivals)} late; "
-            f"{served} of {len(others)} other calls served"
+            f"{served} of {len(others)} other calls served, "
+            f"{len(self.wrongly_banned_ids)} of their attempts banned"
         )
 
 
@@ -161,7 +177,11 @@
         for number in range(settings.engines):
             domain = settings.domains[number % len(settings.domains)]
             engine = CrashableEngine(
-                f"e{number + 1}", domain, settings.death, self.arrivals
+                f"e{number + 1}",
+                domain,
+                settings.death,
+                settings.work_s,
+                self.arrivals,
             )
             await engine.start(free_address())
             self.engines.append(engine)
@@ -252,25 +272,37 @@
             time.monotonic(),
         )
         self.calls.append(record)
-        task = asyncio.create_task(self._exchange(gateway, path, body, record))
+        task = asyncio.create_task(self._call(gateway, path, body, record))
         self._call_tasks.add(task)
         task.add_done_callback(self._call_tasks.discard)
 
-    async def _exchange(
+    async def _call(
         self, gateway: GatewayProcess, path: str, body: bytes, record: CallRecord
     ) -> None:
+        """Send a request, and once more at any gateway if it isn't served."""
+        record.status = await self._exchange(gateway, path, body, record.request_id)
+        if record.status != 200 and not record.crashes:
+            gateway = self._random.choice(self.gateways)
+            retry_id = f"{record.request_id}-retry"
+            record.status = await self._exchange(gateway, path, body, retry_id)
+
+    async def _exchange(
+        self, gateway: GatewayProcess, path: str, body: bytes, request_id: str
+    ) -> int:
+        """Return the status of the response, or 0 without one."""
         headers = {
             "Host": HOST,
-            "Request-Id": record.request_id,
+            "Request-Id": request_id,
             "Credential": KEY,
             "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
         }
         url = f"http://{gateway.caller_address}{path}"
         try:
-            async with asyncio.timeout(DEADLINE_SECONDS + 0.5):
-                async with self._session.post(url, headers=headers, data=body) as reply:
-                    await reply.read()
-                    record.status = reply.status
+            async with (
+                asyncio.timeout(DEADLINE_SECONDS + 0.5),
+                self._session.post(url, headers=headers, data=body) as reply,
+            ):
+                await reply.read()
+                return reply.status
         except (aiohttp.ClientError, OSError, TimeoutError):
-            record.status = 0
-        record.ended = time.monotonic()
+            return 0
--- a/tests/harness/crash_drill/engine.py
+++ b/tests/harness/crash_drill/engine.py
@@ -9,7 +9,6 @@
 
 import attrs
 
-WORK_SECONDS = 0.02
 CRASH_BODY = b"this content crashes engines"
 # The connections that the kernel completes for a listener that accepts none.
 SILENT_BACKLOG = 1
@@ -50,10 +49,18 @@
 class CrashableEngine:
     """One place of the fleet at which an engine runs, ends, and runs again.
 
-    ``id``, ``address``, and ``started_ms`` are those of the current run.
+    ``id``, ``address``, and ``started_ms`` are those of the current run. ``work_s`` is
+    the time that a request takes.
     """
 
-    def __init__(self, name: str, domain: str, death: Death, arrivals: list[Arrival]):
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        death: Death,
+        work_s: float,
+        arrivals: list[Arrival],
+    ):
         self.id = name
         self.domain = domain
         self.address = ""
@@ -61,6 +68,7 @@
         self.is_up = False
         self.ended = asyncio.Event()
         self._death = death
+        self._work_s = work_s
         self._arrivals = arrivals
         self._server: asyncio.Server | None = None
         self._silent_listener: socket.socket | None = None
@@ -169,7 +177,7 @@
         self._arrivals.append(
             Arrival(request_id, f"{self.id}#{run}", time.monotonic(), crashes)
         )
-        await asyncio.sleep(0 if crashes else WORK_SECONDS)
+        await asyncio.sleep(0 if crashes else self._work_s)
         if crashes:
             self.crash()
         if not self.is_up or self._run != run:
--- a/tests/test_crash_drill.py
+++ b/tests/test_crash_drill.py
@@ -14,6 +14,7 @@
     "no other calls": DrillSettings(gateways=9, calls_per_s=0),
     "silent engines": DrillSettings(death=Death.SILENT),
     "silent engines of one domain": DrillSettings(death=Death.SILENT, domains="a"),
+    "many calls beside": DrillSettings(engines=9, copies=2, calls_per_s=60, work_s=0.2),
     "no retries": DrillSettings(route="unsafe", gateways=9, calls_per_s=10),
     "quick returns as new engines": DrillSettings(
         gateways=9, domains="a", returns=Return.NEW_ID, down_s=1.0
@@ -26,3 +27,4 @@
 async def test_request_that_crashes_engines_stops_reaching_them(tmp_path, settings):
     result = await CrashDrill(tmp_path, settings).run()
     assert len(result.late_arrivals) <= MAX_LATE_ARRIVALS, result.summary()
+    assert result.wrongly_banned_ids == []
