Don't take a failure of this VM's sockets for an engine's refusal

A VM without free descriptors, or without a path to an engine's network, counted each failed connection as refused by the engine, which now would end the engine's run.

Change: only connections that the engine refuses or resets are refusals; other failures of a socket are ConnectFailedError, which makes an engine unreachable and is no sign of a crash. The test of a check without a free socket failed before (REFUSED).

--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -28,6 +28,7 @@
 from dotterelpitch.upstream.errors import (
     AnswerGarbledError,
     AnswerLostError,
+    ConnectFailedError,
     ConnectRefusedError,
     ConnectTimeoutError,
     NotSentError,
@@ -51,6 +52,7 @@
 
 _FAILURE_BY_ERROR = {
     ConnectRefusedError: FailureKind.REFUSED,
+    ConnectFailedError: FailureKind.UNREACHABLE,
     ConnectTimeoutError: FailureKind.UNREACHABLE,
     PathLostError: FailureKind.UNREACHABLE,
     AnswerLostError: FailureKind.RESPONSE_LOST,
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -121,6 +121,8 @@
             result=result,
             seconds=round(self._clock.monotonic() - began, 3),
         )
+        if result is CheckResult.NOT_MADE:
+            return
         if _is_alive(engine, result):
             self._tracker.heard_from(engine)
         elif result is CheckResult.REFUSED or check.is_needed():
--- a/dotterelpitch/upstream/engine_check.py
+++ b/dotterelpitch/upstream/engine_check.py
@@ -10,6 +10,7 @@
 from dotterelpitch.upstream.connection import EngineConnection
 from dotterelpitch.upstream.errors import (
     AnswerLostError,
+    ConnectFailedError,
     ConnectRefusedError,
     ConnectTimeoutError,
     PathLostError,
@@ -32,9 +33,12 @@
     is one after a connection attempt without an answer. REFUSED means that nothing
     listens, BROKEN that the connection ended without a response, and SILENT that
     there was no sign of life within the timeout. UNNEEDED means that the engine
-    accepted a connection and had given a sign of life elsewhere.
+    accepted a connection and had given a sign of life elsewhere, and NOT_MADE that
+    the check itself failed.
     """
 
+    NOT_MADE = "not made"
+
     UNNEEDED = "unneeded"
     RESPONDED = "responded"
     RETURNED = "returned"
@@ -64,6 +68,8 @@
         try:
             async with asyncio.timeout(self.timeout_s):
                 return await self._run()
+        except ConnectFailedError:
+            return CheckResult.NOT_MADE
         except ConnectRefusedError:
             return CheckResult.REFUSED
         except (TimeoutError, PathLostError):
--- a/dotterelpitch/upstream/errors.py
+++ b/dotterelpitch/upstream/errors.py
@@ -12,7 +12,11 @@
 
 
 class ConnectRefusedError(NotSentError):
-    """The engine's address refused the connection, or the socket failed otherwise."""
+    """The engine's address refused or reset the connection."""
+
+
+class ConnectFailedError(NotSentError):
+    """The socket failed on this VM, or the network has no path to the engine."""
 
 
 class ConnectTimeoutError(NotSentError):
--- a/dotterelpitch/upstream/opening.py
+++ b/dotterelpitch/upstream/opening.py
@@ -4,7 +4,11 @@
 import socket
 
 from dotterelpitch.upstream.connection import EngineConnection
-from dotterelpitch.upstream.errors import ConnectRefusedError, ConnectTimeoutError
+from dotterelpitch.upstream.errors import (
+    ConnectFailedError,
+    ConnectRefusedError,
+    ConnectTimeoutError,
+)
 
 # Covers a few round trips between failure domains and one scheduling delay.
 CONNECT_TIMEOUT_SECONDS = 0.1
@@ -20,8 +24,8 @@
 ) -> EngineConnection:
     """Return a new connection to the engine at ``address``, which is ``IP:port``.
 
-    Raises ConnectTimeoutError after ``timeout_s`` seconds without an answer and
-    ConnectRefusedError on any other failure.
+    Raises ConnectTimeoutError after ``timeout_s`` seconds without an answer,
+    ConnectRefusedError if nothing listens there, and ConnectFailedError otherwise.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
@@ -33,9 +37,12 @@
     except TimeoutError as error:
         sock.close()
         raise ConnectTimeoutError(f"{address}: no answer") from error
-    except OSError as error:
+    except ConnectionError as error:
         sock.close()
         raise ConnectRefusedError(f"{address}: {error}") from error
+    except OSError as error:
+        sock.close()
+        raise ConnectFailedError(f"{address}: {error}") from error
     except BaseException:
         sock.close()
         raise
--- a/tests/test_crash_watcher.py
+++ b/tests/test_crash_watcher.py
@@ -1,6 +1,7 @@
 """Engines that leave requests unanswered are asked whether they have ended."""
 
 import asyncio
+import errno
 
 import attrs
 import pytest
@@ -67,6 +68,7 @@
     ("result", "heard", "is_crash"),
     [
         (CheckResult.RESPONDED, None, False),
+        (CheckResult.NOT_MADE, OTHER, False),
         (CheckResult.REFUSED, None, True),
         (CheckResult.BROKEN, None, True),
         (CheckResult.REPLACED, None, True),
@@ -169,6 +171,15 @@
         server.close()
 
 
+# Guards against: a VM without free sockets takes its engines for crashed.
+async def test_check_that_finds_no_socket_is_not_made(monkeypatch):
+    def fail(*args):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(asyncio.get_running_loop(), "sock_connect", fail)
+    assert await make_check("e1", free_address()).run() is CheckResult.NOT_MADE
+
+
 @pytest.mark.parametrize(
     ("engine_id", "result"),
     [("e1", CheckResult.RESPONDED), ("e2", CheckResult.REPLACED)],
