--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -68,6 +68,7 @@
         if result.outcome is AttemptOutcome.DELIVERED:
             self.error_rates.record(engine.id, failed=False)
             self.prompt_cache.record(engine.run_id, call.shared_parts)
+            self.crash_detector.content_completed(call.fingerprint)
             self.suspects.record_completion(call.fingerprint)
         if result.failure is None:
             self.health.record_success(engine.id)
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -2,8 +2,9 @@
 
 An attempt without a response is *unanswered*, whether its connection broke, its time
 ran out, or its caller left. It stays open to suspicion until the engine gives a sign
-of life after it, which any bytes of any response are. When the engine turns out to
-have ended, the unanswered attempts that it hasn't outlived become crash suspects.
+of life after it, which any bytes of any response are, or until another attempt with
+this content completes. When the engine turns out to have ended, the unanswered
+attempts that it hasn't outlived become crash suspects.
 
 How an engine turns out to have ended is decided elsewhere; this module needs neither
 a second request nor a peer for it.
@@ -107,6 +108,15 @@
         attempt.ended_at = self._clock.monotonic()
         attempt.is_broken = is_broken
 
+    def content_completed(self, fingerprint: str) -> None:
+        """Drop the ended attempts of a content, since an engine has completed it."""
+        for attempts in self._attempts_by_engine.values():
+            attempts[:] = [
+                attempt
+                for attempt in attempts
+                if attempt.ended_at is None or attempt.fingerprint != fingerprint
+            ]
+
     def heard_from(self, engine_id: str) -> None:
         """Record a sign of life of an engine; it has outlived the ended attempts."""
         self._heard_at_by_engine[engine_id] = self._clock.monotonic()
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -94,6 +94,15 @@
     assert [c.fingerprint for c in detector.engine_ended(engine("e1"))] == ["bad"]
 
 
+def test_request_that_completes_elsewhere_asks_for_no_check(detector, clock):
+    lost = detector.attempt_sent("e1", "late")
+    detector.attempt_ended(lost, is_broken=False)
+    detector.content_completed("late")
+    clock.advance(1.0)
+    assert detector.silent_engines(0.4) == []
+    assert detector.engine_ended(engine("e1")) == []
+
+
 @pytest.mark.parametrize(
     ("silence_s", "heard", "listed"),
     [(0.3, False, False), (0.5, False, True), (0.5, True, False)],
