Check an engine that has left the registry, and again after a loss meanwhile

What callers saw: none yet; found by reading and with a drill. A connection that broke while its engine was being checked for another loss started no check of its own, and a check found unneeded counted as a sign of life later than the one it rested on.

Change: an attempt holds the engine as it was registered when it was sent, and the check goes there, unless the engine is known to leave. After a check, it is made again if a connection has broken since it began. An unneeded check is no sign of life.

The drill is in tests/test_crash_drill.py.

--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -74,9 +74,9 @@
         """Record that the attempt has ended."""
         self._concurrency_limiter.request_ended(self._request)
         if self._is_answered:
-            self._crash_watcher.attempt_answered(self._engine, self._attempt)
+            self._crash_watcher.attempt_answered(self._attempt)
             return
-        self._crash_watcher.attempt_ended(self._engine, self._attempt, self._is_broken)
+        self._crash_watcher.attempt_ended(self._attempt, self._is_broken)
 
 
 def log_limit_change(change: LimitChange) -> None:
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -24,8 +24,10 @@
 SILENCE_SECONDS = 0.4
 # A slow engine that responds to checks isn't checked again sooner.
 MIN_CHECK_INTERVAL_SECONDS = 1.5
+
 RunCheck = Callable[[EngineCheck], Awaitable[CheckResult]]
 
+# The results that mean that the engine's run has ended.
 _FAILURE_BY_RESULT = {
     CheckResult.RETURNED: FailureKind.REFUSED,
     CheckResult.REPLACED: FailureKind.REFUSED,
@@ -60,13 +62,14 @@
         """Check the silent engines periodically until cancelled."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
-            for engine_id in self._detector.silent_engines(SILENCE_SECONDS):
-                if self._is_due(engine_id):
-                    self.check_soon(engine_id)
+            self._drop_old_check_times()
+            for engine in self._detector.silent_engines(SILENCE_SECONDS):
+                if engine.id not in self._checked_at_by_engine:
+                    self.check_soon(engine)
 
     def attempt_sent(self, engine: Engine, fingerprint: str) -> UnansweredAttempt:
         """Record that a request was sent to an engine."""
-        return self._detector.attempt_sent(engine.id, fingerprint)
+        return self._detector.attempt_sent(engine, fingerprint)
 
     def heard_from(self, engine: Engine) -> None:
         """Record bytes from an engine."""
@@ -76,38 +79,49 @@
         """Record that the engine has begun to send the response."""
         self._detector.output_started(attempt)
 
-    def attempt_answered(self, engine: Engine, attempt: UnansweredAttempt) -> None:
+    def attempt_answered(self, attempt: UnansweredAttempt) -> None:
         """Record a complete response."""
-        self._detector.attempt_answered(engine.id, attempt)
-        self._tracker.heard_from(engine)
+        self._detector.attempt_answered(attempt)
+        self._tracker.heard_from(attempt.engine)
 
-    def attempt_ended(
-        self, engine: Engine, attempt: UnansweredAttempt, is_broken: bool
-    ) -> None:
+    def attempt_ended(self, attempt: UnansweredAttempt, is_broken: bool) -> None:
         """Record an attempt without a complete response, and check its engine.
 
         ``is_broken`` is whether its connection broke.
         """
         self._detector.attempt_ended(attempt, is_broken)
         if is_broken:
-            self.check_soon(engine.id)
+            self.check_soon(attempt.engine)
 
-    def check_soon(self, engine_id: str) -> None:
-        """Start a check of an engine unless one is running."""
-        engine = self._state.directory.engine_by_id.get(engine_id)
-        if engine is None or engine_id in self._task_by_engine:
-            return
-        self._checked_at_by_engine[engine_id] = self._clock.monotonic()
-        task = asyncio.create_task(self._check_engine(engine))
-        self._task_by_engine[engine_id] = task
-        task.add_done_callback(lambda _: self._task_by_engine.pop(engine_id))
+    def check_soon(self, engine: Engine) -> None:
+        """Start a check of an engine unless one is running or the engine is leaving.
 
-    def _is_due(self, engine_id: str) -> bool:
-        checked_at = self._checked_at_by_engine.get(engine_id, float("-inf"))
-        return self._clock.monotonic() - checked_at >= MIN_CHECK_INTERVAL_SECONDS
+        An engine that has left the registry is checked where it was.
+        """
+        listed = self._state.directory.engine_by_id.get(engine.id)
+        is_leaving = listed is not None and listed.is_leaving
+        if is_leaving or engine.id in self._task_by_engine:
+            return
+        task = asyncio.create_task(self._check_until_settled(engine))
+        self._task_by_engine[engine.id] = task
+        task.add_done_callback(lambda _: self._task_by_engine.pop(engine.id))
+
+    def _drop_old_check_times(self) -> None:
+        oldest = self._clock.monotonic() - MIN_CHECK_INTERVAL_SECONDS
+        for engine_id, checked_at in list(self._checked_at_by_engine.items()):
+            if checked_at < oldest:
+                del self._checked_at_by_engine[engine_id]
+
+    async def _check_until_settled(self, engine: Engine) -> None:
+        """Check an engine, again if another connection to it broke meanwhile."""
+        while True:
+            began = self._clock.monotonic()
+            self._checked_at_by_engine[engine.id] = began
+            await self._check_engine(engine, began)
+            if not self._detector.has_broken_attempt(engine.id, began):
+                return
 
-    async def _check_engine(self, engine: Engine) -> None:
-        began = self._clock.monotonic()
+    async def _check_engine(self, engine: Engine, began: float) -> None:
         check = EngineCheck(
             engine.id,
             engine.address,
@@ -121,11 +135,11 @@
             result=result,
             seconds=round(self._clock.monotonic() - began, 3),
         )
-        if result is CheckResult.NOT_MADE:
-            return
-        if _is_alive(engine, result):
+        if _has_responded(engine, result):
             self._tracker.heard_from(engine)
-        elif result is CheckResult.REFUSED or check.is_needed():
+        elif result in _FAILURE_BY_RESULT and (
+            result is CheckResult.REFUSED or check.is_needed()
+        ):
             self._engine_failed(engine, result, began)
 
     def _engine_failed(self, engine: Engine, result: CheckResult, began: float) -> None:
@@ -155,11 +169,11 @@
         return service.health_path if service else DEFAULT_HEALTH_PATH
 
 
-def _is_alive(engine: Engine, result: CheckResult) -> bool:
-    """Return whether a check has shown that the engine's run goes on.
+def _has_responded(engine: Engine, result: CheckResult) -> bool:
+    """Return whether a check has met the run of the engine that was asked.
 
     If its start time is known, another run would show by its record.
     """
     if result is CheckResult.RETURNED:
         return engine.started_ms > 0
-    return result in (CheckResult.RESPONDED, CheckResult.UNNEEDED)
+    return result is CheckResult.RESPONDED
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -31,11 +31,13 @@
 class UnansweredAttempt:
     """A request sent to an engine that hasn't answered it.
 
-    All times are of the monotonic clock, in seconds. ``ended_at`` is None while it is
-    in flight, and ``first_output_at`` None before the first byte of the response.
-    ``is_broken`` is whether its connection broke.
+    ``engine`` is as it was registered then. All times are of the monotonic clock, in
+    seconds. ``ended_at`` is None while it is in flight, and ``first_output_at`` None
+    before the first byte of the response. ``is_broken`` is whether its connection
+    broke.
     """
 
+    engine: Engine
     fingerprint: str
     sent_at: float
     first_output_at: float | None = None
@@ -69,9 +71,9 @@
     >>> clock = ManualClock()
     >>> suspects = CrashSuspects(clock)
     >>> detector = CrashDetector("vm-1", clock, suspects)
-    >>> attempt = detector.attempt_sent("e1", "a")
-    >>> detector.attempt_ended(attempt, is_broken=True)
     >>> engine = Engine("e1", "chat", "127.0.0.1:1", "a", started_ms=7)
+    >>> attempt = detector.attempt_sent(engine, "a")
+    >>> detector.attempt_ended(attempt, is_broken=True)
     >>> [crash.fingerprint for crash in detector.engine_ended(engine)]
     ['a']
     """
@@ -84,10 +86,10 @@
     _last_end_by_engine: dict[str, _RunEnd] = field(factory=dict)
     _unnamed_run_count: int = 0
 
-    def attempt_sent(self, engine_id: str, fingerprint: str) -> UnansweredAttempt:
+    def attempt_sent(self, engine: Engine, fingerprint: str) -> UnansweredAttempt:
         """Record that a request was sent to an engine."""
-        attempt = UnansweredAttempt(fingerprint, self._clock.monotonic())
-        self._attempts_by_engine.setdefault(engine_id, []).append(attempt)
+        attempt = UnansweredAttempt(engine, fingerprint, self._clock.monotonic())
+        self._attempts_by_engine.setdefault(engine.id, []).append(attempt)
         return attempt
 
     def output_started(self, attempt: UnansweredAttempt) -> None:
@@ -95,9 +97,9 @@
         if attempt.first_output_at is None:
             attempt.first_output_at = self._clock.monotonic()
 
-    def attempt_answered(self, engine_id: str, attempt: UnansweredAttempt) -> None:
+    def attempt_answered(self, attempt: UnansweredAttempt) -> None:
         """Record a complete response."""
-        self._attempts_by_engine[engine_id].remove(attempt)
+        self._attempts_by_engine[attempt.engine.id].remove(attempt)
 
     def attempt_ended(self, attempt: UnansweredAttempt, is_broken: bool) -> None:
         """Record that an attempt ended unanswered.
@@ -126,23 +128,28 @@
         heard_at = self._heard_at_by_engine.get(engine_id, float("-inf"))
         return heard_at > at + READ_ORDER_SECONDS
 
-    def silent_engines(self, silence_s: float) -> list[str]:
+    def silent_engines(self, silence_s: float) -> list[Engine]:
         """Return the engines that have left an attempt unanswered for so long.
 
         Those that have given a sign of life within ``silence_s`` seconds aren't among
         them.
         """
         latest = self._clock.monotonic() - silence_s
-        return [
-            engine_id
-            for engine_id in self._attempts_by_engine
-            if not self.has_outlived(engine_id, latest)
-            and any(a.sent_at <= latest for a in self._open_attempts(engine_id))
-        ]
-
-    def has_open_attempts(self, engine_id: str) -> bool:
-        """Return whether any attempts would become suspects if the engine had ended."""
-        return bool(self._open_attempts(engine_id))
+        silent = []
+        for engine_id in self._attempts_by_engine:
+            if self.has_outlived(engine_id, latest):
+                continue
+            attempts = self._open_attempts(engine_id)
+            silent += [a.engine for a in attempts if a.sent_at <= latest][-1:]
+        return silent
+
+    def has_broken_attempt(self, engine_id: str, since: float) -> bool:
+        """Return whether a connection broke after ``since`` and the engine is silent.
+
+        ``since`` is a time of the monotonic clock, in seconds.
+        """
+        attempts = self._open_attempts(engine_id)
+        return any(a.is_broken and a.ended_at > since for a in attempts)
 
     def engine_ended(self, engine: Engine) -> list[Crash]:
         """Record that an engine has ended without notice; return the new crashes."""
--- a/tests/harness/crash_drill/drill.py
+++ b/tests/harness/crash_drill/drill.py
@@ -27,8 +27,6 @@
 STOP_SECONDS = 3.0
 MAX_CRASHES_BEFORE_STOP = 3
 MAX_LATE_ARRIVALS = 3
-# The platform removes an engine's record after three missed heartbeats.
-RECORD_TTL_SECONDS = 3.6
 DEADLINE_SECONDS = 1.5
 DRAIN_SECONDS = 2.0
 ROUTES = {
@@ -45,7 +43,8 @@
     in turn. ``crash_interval_s`` is the time between two requests with the content
     that crashes engines, each at ``copies`` gateways at once; ``calls_per_s`` is the
     rate of other calls over all gateways; each takes ``work_s`` and is sent once more
-    if it fails. Ended engines return after ``down_s``.
+    if it fails. Ended engines return after ``down_s``, and their records are removed
+    after ``record_ttl_s``, which is three missed heartbeats on the platform.
     """
 
     gateways: int = 4
@@ -54,6 +53,7 @@
     death: Death = Death.REFUSING
     returns: Return = Return.SAME_ID
     down_s: float = 3.0
+    record_ttl_s: float = 3.6
     seconds: float = 14.0
     crash_interval_s: float = 0.5
     copies: int = 1
@@ -231,11 +231,10 @@
         while True:
             await engine.ended.wait()
             key = f"servers/{engine.id}"
-            expiry_s = min(RECORD_TTL_SECONDS, settings.down_s)
-            await pause(expiry_s)
-            if settings.down_s > RECORD_TTL_SECONDS:
+            await pause(min(settings.record_ttl_s, settings.down_s))
+            if settings.down_s > settings.record_ttl_s:
                 self.store.delete(key)
-                await pause(settings.down_s - RECORD_TTL_SECONDS)
+                await pause(settings.down_s - settings.record_ttl_s)
             address = engine.address
             if settings.returns is Return.NEW_ADDRESS:
                 address = free_address()
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -36,7 +36,7 @@
 
 def lose(detector, engine_id, fingerprint):
     """Send a request whose connection breaks at once."""
-    attempt = detector.attempt_sent(engine_id, fingerprint)
+    attempt = detector.attempt_sent(engine(engine_id), fingerprint)
     detector.attempt_ended(attempt, is_broken=True)
 
 
@@ -78,15 +78,15 @@
 
 
 def test_answered_request_is_not_the_cause_of_a_crash(detector, suspects):
-    attempt = detector.attempt_sent("e1", "answered")
-    detector.attempt_answered("e1", attempt)
+    attempt = detector.attempt_sent(engine("e1"), "answered")
+    detector.attempt_answered(attempt)
     assert detector.engine_ended(engine("e1")) == []
 
 
 # Guards against: a silent engine's request whose caller has left isn't counted.
 @pytest.mark.parametrize("has_ended", [False, True])
 def test_unanswered_request_at_a_silent_engine_counts(detector, clock, has_ended):
-    attempt = detector.attempt_sent("e1", "bad")
+    attempt = detector.attempt_sent(engine("e1"), "bad")
     clock.advance(0.3)
     if has_ended:
         detector.attempt_ended(attempt, is_broken=False)
@@ -95,7 +95,7 @@
 
 
 def test_request_that_completes_elsewhere_asks_for_no_check(detector, clock):
-    lost = detector.attempt_sent("e1", "late")
+    lost = detector.attempt_sent(engine("e1"), "late")
     detector.attempt_ended(lost, is_broken=False)
     detector.content_completed("late")
     clock.advance(1.0)
@@ -110,11 +110,11 @@
 def test_silent_engines_with_unanswered_requests_are_listed(
     detector, clock, silence_s, heard, listed
 ):
-    detector.attempt_sent("e1", "bad")
+    detector.attempt_sent(engine("e1"), "bad")
     clock.advance(silence_s)
     if heard:
         detector.heard_from("e1")
-    assert detector.silent_engines(0.4) == (["e1"] if listed else [])
+    assert detector.silent_engines(0.4) == ([engine("e1")] if listed else [])
 
 
 def test_crash_of_one_run_counts_once_however_often_it_is_detected(detector, suspects):
@@ -169,7 +169,7 @@
     lose(detector, "e0", "bad")
     detector.engine_ended(engine("e0"))
     for engine_id in ("e1", "e2", "e3"):
-        beside = detector.attempt_sent(engine_id, "beside")
+        beside = detector.attempt_sent(engine(engine_id), "beside")
         if output_s is not None:
             detector.output_started(beside)
             clock.advance(output_s)
@@ -184,7 +184,7 @@
     suspects = CrashSuspects(clock, max_crashes=3)
     detector = CrashDetector("vm1", clock, suspects)
     for engine_id in ("e1", "e2", "e3"):
-        beside = detector.attempt_sent(engine_id, "beside")
+        beside = detector.attempt_sent(engine(engine_id), "beside")
         detector.output_started(beside)
         clock.advance(START_SECONDS + 0.5)
         lose(detector, engine_id, "bad")
--- a/tests/test_crash_drill.py
+++ b/tests/test_crash_drill.py
@@ -13,6 +13,9 @@
     "one domain": DrillSettings(domains="a"),
     "no other calls": DrillSettings(gateways=9, calls_per_s=0),
     "silent engines": DrillSettings(death=Death.SILENT),
+    "silent engines whose records go at once": DrillSettings(
+        gateways=6, death=Death.SILENT, record_ttl_s=0.0, returns=Return.NEW_ID
+    ),
     "silent engines of one domain": DrillSettings(death=Death.SILENT, domains="a"),
     "many calls beside": DrillSettings(engines=9, copies=2, calls_per_s=60, work_s=0.2),
     "no retries": DrillSettings(route="unsafe", gateways=9, calls_per_s=10),
--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -66,7 +66,7 @@
         if now - restarted_at >= CONTACT_SECONDS:
             self.covered.append(now)
         detector = gateway.engine_tracker.crash_detector
-        detector.attempt_ended(detector.attempt_sent(engine.id, "bad"), is_broken=True)
+        detector.attempt_ended(detector.attempt_sent(engine, "bad"), is_broken=True)
         self._detections.append((now + self._detection_s, address, engine))
 
     def late_arrivals(self):
--- a/tests/test_crash_watcher.py
+++ b/tests/test_crash_watcher.py
@@ -52,7 +52,7 @@
     def lose(self, engine, fingerprint="bad"):
         """Send a request whose connection breaks at once."""
         attempt = self.watcher.attempt_sent(engine, fingerprint)
-        self.watcher.attempt_ended(engine, attempt, is_broken=True)
+        self.watcher.attempt_ended(attempt, is_broken=True)
 
     async def settle(self):
         """Wait until the check and what follows it are over."""
@@ -124,6 +124,35 @@
     assert vm.is_crash is is_crash
 
 
+# Guards against: a crash while its engine is checked for another loss is missed.
+async def test_engine_is_checked_again_if_a_connection_breaks_during_a_check():
+    vm = WatchedVm(CheckResult.REFUSED)
+    vm.lose(ENGINE, "earlier")
+    vm.watcher.heard_from(ENGINE)
+    await pause(PATIENCE_SECONDS + CHECK_SECONDS / 2)
+    vm.lose(ENGINE)
+    await vm.settle()
+    await vm.settle()
+    assert vm.is_crash
+
+
+# Guards against: an engine whose record goes at its crash is never checked.
+async def test_engine_that_has_left_the_registry_is_checked_where_it_was():
+    vm = WatchedVm(CheckResult.REFUSED)
+    vm.state.directory.remove(ENGINE.id)
+    vm.lose(ENGINE)
+    await vm.settle()
+    assert vm.is_crash
+
+
+async def test_leaving_engine_is_not_taken_for_crashed():
+    vm = WatchedVm(CheckResult.REFUSED)
+    vm.state.directory.put(attrs.evolve(ENGINE, is_leaving=True))
+    vm.lose(ENGINE)
+    await vm.settle()
+    assert not vm.is_crash
+
+
 async def test_losses_at_one_engine_share_a_check():
     vm = WatchedVm(CheckResult.BROKEN)
     for n in range(20):
