Suspect no request that runs on while its engine refuses another connection

What callers saw: none yet; found by reading. An engine that has too many connections refuses a new one; that ended its run in the record, with all that was in flight there as suspects, and again at each refusal: three of them could have banned a stream that ran on.

Change: what is in flight counts only if the engine has been silent for 0.4 s, which also is when it is asked. A crash breaks the connections within moments, and each broken one counts as before. The new test failed before: the running request was listed beside the lost one.

--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -20,8 +20,6 @@
 from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
 
 SWEEP_INTERVAL_SECONDS = 0.2
-# An engine that is busy says something more often than this.
-SILENCE_SECONDS = 0.4
 # A slow engine that responds to checks isn't checked again sooner.
 MIN_CHECK_INTERVAL_SECONDS = 1.5
 
@@ -63,7 +61,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
             self._drop_old_check_times()
-            for engine in self._detector.silent_engines(SILENCE_SECONDS):
+            for engine in self._detector.silent_engines():
                 if engine.id not in self._checked_at_by_engine:
                     self.check_soon(engine)
 
--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -81,8 +81,8 @@
     ) -> None:
         """Record that an engine has ended without notice.
 
-        The requests in flight there become crash suspects. ``evidence`` says how it
-        is known, for the log.
+        The requests that it left unanswered become crash suspects. ``evidence`` says
+        how it is known, for the log.
         """
         if self.health.state(engine.id) is not HealthState.SUSPECT:
             self.health.record_failure(engine.id, failure)
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -16,6 +16,8 @@
 from dotterelpitch.routing.crash_suspects import Crash, CrashSuspects
 from dotterelpitch.routing.engines import Engine
 
+# A busy engine says something more often than this.
+SILENCE_SECONDS = 0.4
 # How long an attempt that has ended unanswered can belong to a crash.
 MAX_ATTEMPT_AGE_SECONDS = 5.0
 # Bytes of other responses, sent before a crash, may be read this long after the
@@ -128,13 +130,9 @@
         heard_at = self._heard_at_by_engine.get(engine_id, float("-inf"))
         return heard_at > at + READ_ORDER_SECONDS
 
-    def silent_engines(self, silence_s: float) -> list[Engine]:
-        """Return the engines that have left an attempt unanswered for so long.
-
-        Those that have given a sign of life within ``silence_s`` seconds aren't among
-        them.
-        """
-        latest = self._clock.monotonic() - silence_s
+    def silent_engines(self) -> list[Engine]:
+        """Return the engines that leave an attempt unanswered and are silent."""
+        latest = self._clock.monotonic() - SILENCE_SECONDS
         silent = []
         for engine_id in self._attempts_by_engine:
             if self.has_outlived(engine_id, latest):
@@ -152,8 +150,17 @@
         return any(a.is_broken and a.ended_at > since for a in attempts)
 
     def engine_ended(self, engine: Engine) -> list[Crash]:
-        """Record that an engine has ended without notice; return the new crashes."""
-        return self._record_crash(engine, self._open_attempts(engine.id))
+        """Record that an engine has ended without notice; return the new crashes.
+
+        An engine that gave a sign of life just now refuses single connections only,
+        and what is in flight there goes on.
+        """
+        latest = self._clock.monotonic() - SILENCE_SECONDS
+        is_silent = not self.has_outlived(engine.id, latest)
+        attempts = self._open_attempts(engine.id)
+        return self._record_crash(
+            engine, [a for a in attempts if is_silent or a.ended_at is not None]
+        )
 
     def engine_restarted(self, previous: Engine) -> list[Crash]:
         """Record that another run has replaced ``previous``; return the new crashes.
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -94,12 +94,24 @@
     assert [c.fingerprint for c in detector.engine_ended(engine("e1"))] == ["bad"]
 
 
+# Guards against: an engine that has too many connections and refuses one more makes
+# the requests that run there suspect.
+def test_request_in_flight_is_not_suspect_when_its_engine_refuses_another(
+    detector, clock
+):
+    detector.attempt_sent(engine("e1"), "running")
+    detector.heard_from("e1")
+    clock.advance(0.2)
+    lose(detector, "e1", "lost")
+    assert [c.fingerprint for c in detector.engine_ended(engine("e1"))] == ["lost"]
+
+
 def test_request_that_completes_elsewhere_asks_for_no_check(detector, clock):
     lost = detector.attempt_sent(engine("e1"), "late")
     detector.attempt_ended(lost, is_broken=False)
     detector.content_completed("late")
     clock.advance(1.0)
-    assert detector.silent_engines(0.4) == []
+    assert detector.silent_engines() == []
     assert detector.engine_ended(engine("e1")) == []
 
 
@@ -114,7 +126,7 @@
     clock.advance(silence_s)
     if heard:
         detector.heard_from("e1")
-    assert detector.silent_engines(0.4) == ([engine("e1")] if listed else [])
+    assert detector.silent_engines() == ([engine("e1")] if listed else [])
 
 
 def test_crash_of_one_run_counts_once_however_often_it_is_detected(detector, suspects):
