--- a/tests/harness/gateway_soak/traffic.py
+++ b/tests/harness/gateway_soak/traffic.py
@@ -81,7 +81,10 @@
         return sent
 
     async def send_crashing(self, content: str) -> None:
-        """Send a request with this content, which crashes engines, at a random VM."""
+        """Send a request with this content, which crashes engines, at a random VM.
+
+        It has a session of its own, since its fault may outlast the other traffic.
+        """
         self._count += 1
         vm = self._pick_vm()
         request_id = f"{CRASH_ID_PREFIX}-{content}-{vm.name}-{self._count}"
@@ -95,7 +98,8 @@
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with (
                 asyncio.timeout(DEADLINE_SECONDS),
-                self._session.post(url, headers=headers, data=content) as answer,
+                aiohttp.ClientSession() as session,
+                session.post(url, headers=headers, data=content) as answer,
             ):
                 await answer.read()
 
