Bound the bytes of an engine that bring neither head nor body

What callers saw: one request under which an engine sends a head of one endless line took a gateway from 40 to over 200 MB in seconds; its limit is 300.

Cause: the parser buffers a line until it ends, and only complete headers were counted. The same holds for the status line, chunk sizes and extensions, trailers, and interim responses.

Change: a connection counts what it has received since the last head or part of a body; above 512 KiB it is closed and the answer is garbled. All seven cases of the new test failed before (no end within 2 MiB).

--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -16,6 +16,9 @@
 # Reading from the engine pauses while more than this of a body is unread.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
 MAX_HEAD_BYTES = 64 * 1024
+# Bytes that bring neither the head nor a part of the body, such as an endless line or
+# interim responses without end. The parser buffers some of them.
+MAX_OVERHEAD_BYTES = 512 * 1024
 # Idle limit of engines that don't send a Keep-Alive timeout.
 DEFAULT_IDLE_SECONDS = 4.0
 
@@ -121,6 +124,7 @@
             if not self._is_busy:
                 self.close()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -130,6 +134,10 @@
                 self.is_reusable = False
             else:
                 self._fail(AnswerGarbledError(f"not an HTTP answer: {error}"))
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES and not self._is_complete:
+            self._fail(
+                AnswerGarbledError(f"over {MAX_OVERHEAD_BYTES} bytes without content")
+            )
         if len(self._body) > MAX_BUFFERED_BODY_BYTES:
             self._transport.pause_reading()
         self._wake_waiter()
@@ -185,6 +193,7 @@
             "content-length" not in value_by_name
             and "chunked" not in value_by_name.get("transfer-encoding", "").lower()
         )
+        self._overhead_bytes = 0
         self._head = HttpResponseHead(status, self._raw_headers, value_by_name)
         if not self._expects_body:
             self._is_complete = True
@@ -192,6 +201,7 @@
 
     def on_body(self, data: bytes) -> None:
         if not self._is_ignored and not self._is_complete:
+            self._overhead_bytes = 0
             self._body += data
 
     def on_message_complete(self) -> None:
@@ -205,6 +215,7 @@
         self._head: HttpResponseHead | None = None
         self._raw_headers: list[tuple[str, str]] = []
         self._head_bytes = 0
+        self._overhead_bytes = 0
         self._body = bytearray()
         self._is_complete = False
         self._is_ignored = False
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from dotterelpitch.upstream.connection import EngineConnection
+from dotterelpitch.upstream.connection import MAX_OVERHEAD_BYTES, EngineConnection
 from dotterelpitch.upstream.errors import (
     AnswerGarbledError,
     AnswerLostError,
@@ -149,3 +149,29 @@
     connection.finish(0.0)
     assert transport.closed
     assert not connection.is_reusable
+
+
+# Guards against: bytes without end that never bring a head or a body fill the memory.
+@pytest.mark.parametrize(
+    ("before", "repeated"),
+    [
+        (b"HTTP/1.1 200 ", b"x" * 1000),
+        (OK + b"X-Long: ", b"x" * 1000),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+        (STALE[:40], b"x" * 1000),
+        (CHUNKED, b"0" * 1000),
+        (CHUNKED + b"2;ext=", b"x" * 1000),
+        (CHUNKED + b"0\r\nX-Trailer: ", b"x" * 1000),
+    ],
+)
+async def test_endless_bytes_end_the_connection(before, repeated):
+    connection, transport = connection_with_sent_request()
+    connection.data_received(before)
+    received = 0
+    while not transport.closed and received < 4 * MAX_OVERHEAD_BYTES:
+        connection.data_received(repeated)
+        received += len(repeated)
+    assert transport.closed
+    assert received <= MAX_OVERHEAD_BYTES + len(repeated)
+    with pytest.raises(AnswerGarbledError):
+        await read_all(connection)
