Don't pass on the beginning of a failure's endless body as the whole

What callers saw: a failure whose body doesn't end was cut at some 300 KB and passed on with its status, as if it were complete.

--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -176,6 +176,10 @@
         observer.head_received(response_class, decode_load(head.value_by_name))
         if response_class is not ResponseClass.ANSWERED:
             body = await self._read_buffered(connection, limits)
+            if len(body) >= MAX_BUFFERED_BYTES:
+                raise AnswerGarbledError(
+                    f"status {head.status} with a body over {MAX_BUFFERED_BYTES} bytes"
+                )
             return AttemptResult(
                 _OUTCOME_BY_RESPONSE_CLASS[response_class],
                 f"status {head.status}",
