Bound the size of one event of a stream

What callers saw: one stream whose single event never ends took 110 to 120 MB of a gateway; ten at once 143 MB in the new test.

Change: an event above 1 MiB is a garbled answer. The caller's connection is reset, or gets 502 if nothing has been passed on.

--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -40,6 +40,8 @@
 # A plain response up to this size is buffered until it is complete, so that the
 # request can still be retried; a longer one is streamed to the caller.
 MAX_BUFFERED_BYTES = 256 * 1024
+# An event is passed on when it is complete, so its size is bounded.
+MAX_EVENT_BYTES = 1024 * 1024
 # A resumable stream that sends nothing for this long is resumed on another engine.
 STREAM_STALL_SECONDS = 1.5
 
@@ -257,6 +259,8 @@
                 break
             observer.data_received()
             complete_events = events.feed(data)
+            if events.partial_event_bytes > MAX_EVENT_BYTES:
+                raise AnswerGarbledError(f"an event is over {MAX_EVENT_BYTES} bytes")
             if complete_events:
                 now = self._clock.monotonic()
                 if last_at is not None:
--- a/dotterelpitch/gateway/event_stream_filter.py
+++ b/dotterelpitch/gateway/event_stream_filter.py
@@ -28,6 +28,11 @@
         """Whether the buffer holds the beginning of an incomplete event."""
         return bool(self._buffer)
 
+    @property
+    def partial_event_bytes(self) -> int:
+        """The size of the incomplete event in the buffer."""
+        return len(self._buffer)
+
     def restart(self) -> None:
         """Discard an incomplete event, before the stream of another engine is read."""
         self._buffer = b""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -31,6 +31,7 @@
 ENDLESS = {
     "status line": ("safe", endless(before=b"HTTP/1.1 200 ")),
     "header line": ("safe", endless(before=b"HTTP/1.1 200 OK\r\nX-Long: ")),
+    "event": ("stream", endless("Content-Type: text/event-stream", before=b"data: ")),
     "error body": ("safe", endless("X-A: b", status="500 Internal Server Error")),
 }
 
