Say once which attempts are recent, and how a connection is reset

No behaviour is meant to change. The condition "in flight or ended a short time ago" stood three times in the crash detector; two places of the engine tracker recorded and logged a crash with the same line; report_delay_s was described at a method in place of the class. In the harness the reset of a connection stood twice, and the crash drill kept a constant, a method, and a field without a use.

--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -87,7 +87,7 @@
         if self.health.state(engine.id) is not HealthState.SUSPECT:
             self.health.record_failure(engine.id, failure)
             self._log_if_suspect(engine, evidence)
-        _log_crashes(engine, evidence, self.crash_detector.engine_ended(engine))
+        self._record_crash(engine, evidence)
 
     def record_engine_restart(self, previous: Engine) -> None:
         """Record that the registry lists another run in place of ``previous``."""
@@ -123,10 +123,12 @@
                 engine.failure_domain, engine.id
             )
         if failure is FailureKind.REFUSED:
-            evidence = result.reason
-            _log_crashes(engine, evidence, self.crash_detector.engine_ended(engine))
+            self._record_crash(engine, result.reason)
         self._log_if_suspect(engine, result.reason)
 
+    def _record_crash(self, engine: Engine, evidence: str) -> None:
+        _log_crashes(engine, evidence, self.crash_detector.engine_ended(engine))
+
     def _log_if_suspect(self, engine: Engine, reason: str) -> None:
         if self.health.state(engine.id) is HealthState.SUSPECT:
             log_event(Event.ENGINE_SUSPECTED, engine=engine.id, reason=reason)
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -168,19 +168,17 @@
         A sign of life may have come from the new run already, so it doesn't clear the
         attempts whose connections broke.
         """
-        attempts = self._attempts_by_engine.get(previous.id, [])
-        oldest = self._clock.monotonic() - MAX_ATTEMPT_AGE_SECONDS
-        broken = [a for a in attempts if a.is_broken and a.ended_at >= oldest]
-        open_attempts = self._open_attempts(previous.id)
-        return self._record_crash(
-            previous, broken + [a for a in open_attempts if not a.is_broken]
-        )
+        attempts = [
+            attempt
+            for attempt in self._recent_attempts(previous.id)
+            if attempt.is_broken or self._is_open(attempt)
+        ]
+        return self._record_crash(previous, attempts)
 
     def expire(self) -> None:
         """Remove attempts that ended too long ago to belong to a crash."""
-        oldest = self._clock.monotonic() - MAX_ATTEMPT_AGE_SECONDS
-        for engine_id, attempts in list(self._attempts_by_engine.items()):
-            kept = [a for a in attempts if a.ended_at is None or a.ended_at >= oldest]
+        for engine_id in list(self._attempts_by_engine):
+            kept = self._recent_attempts(engine_id)
             if kept:
                 self._attempts_by_engine[engine_id] = kept
             else:
@@ -193,17 +191,23 @@
                 del by_engine[engine_id]
 
     def _open_attempts(self, engine_id: str) -> list[UnansweredAttempt]:
+        return [a for a in self._recent_attempts(engine_id) if self._is_open(a)]
+
+    def _recent_attempts(self, engine_id: str) -> list[UnansweredAttempt]:
+        """Return the attempts that are in flight or ended a short time ago."""
         oldest = self._clock.monotonic() - MAX_ATTEMPT_AGE_SECONDS
         return [
             attempt
             for attempt in self._attempts_by_engine.get(engine_id, [])
-            if attempt.ended_at is None
-            or (
-                attempt.ended_at >= oldest
-                and not self.has_outlived(engine_id, attempt.ended_at)
-            )
+            if attempt.ended_at is None or attempt.ended_at >= oldest
         ]
 
+    def _is_open(self, attempt: UnansweredAttempt) -> bool:
+        """Return whether the engine hasn't outlived an attempt."""
+        if attempt.ended_at is None:
+            return True
+        return not self.has_outlived(attempt.engine.id, attempt.ended_at)
+
     def _record_crash(
         self, engine: Engine, attempts: list[UnansweredAttempt]
     ) -> list[Crash]:
--- a/dotterelpitch/routing/crash_suspects.py
+++ b/dotterelpitch/routing/crash_suspects.py
@@ -96,7 +96,8 @@
     """Crash history of requests, by the fingerprint of their content.
 
     Merging is idempotent and independent of the order of messages, so any gossip
-    protocol can replicate it.
+    protocol can replicate it. ``report_delay_s`` is how long peers may take to report
+    which requests they had in flight in a crash; it bans nothing before.
 
     >>> from dotterelpitch.clock import ManualClock
     >>> suspects = CrashSuspects(ManualClock())
@@ -130,8 +131,7 @@
     def verdict(self, fingerprint: str) -> CrashVerdict:
         """Return how a request with this content may run now.
 
-        Crashes count for ``SUSPICION_SECONDS``. ``report_delay_s`` is how long peers
-        may take to report which requests they had in flight in a crash.
+        Crashes count for ``SUSPICION_SECONDS``.
         """
         suspect = self._suspect_by_fingerprint.get(fingerprint)
         if suspect is None:
--- a/tests/harness/crash_drill/drill.py
+++ b/tests/harness/crash_drill/drill.py
@@ -30,7 +30,6 @@
 # The promise covers the requests of gateways that have run for this long.
 CONTACT_SECONDS = 3.0
 DEADLINE_SECONDS = 1.5
-DRAIN_SECONDS = 2.0
 ROUTES = {
     "safe": {"kind": "safe", "max_attempts": 2},
     "unsafe": {"kind": "unsafe", "max_attempts": 1},
@@ -92,7 +91,6 @@
     restarts: list[tuple[str, float]]
     calls: list[CallRecord]
     logs: dict[str, str]
-    began: float
 
     @property
     def crash_arrivals(self) -> list[Arrival]:
@@ -101,6 +99,7 @@
 
     @property
     def late_arrivals(self) -> list[Arrival]:
+        """The arrivals of that content later than it must have been stopped."""
         crashes = self.crash_arrivals
         if len(crashes) < MAX_CRASHES_BEFORE_STOP:
             return []
@@ -127,16 +126,6 @@
         ]
         return [request_id for request_id in banned if request_id not in crashing]
 
-    def unserved_calls(self, since_s: float) -> list[CallRecord]:
-        """Return the other calls sent ``since_s`` after the begin and not served."""
-        return [
-            call
-            for call in self.calls
-            if not call.crashes
-            and call.status != 200
-            and call.at >= self.began + since_s
-        ]
-
     def summary(self) -> str:
         """Return the counts on one line."""
         others = [call for call in self.calls if not call.crashes]
@@ -168,7 +157,6 @@
 
     async def run(self) -> DrillResult:
         """Play the drill; end all processes."""
-        began = time.monotonic()
         try:
             await self._start()
             began = time.monotonic()
@@ -181,7 +169,7 @@
         finally:
             await self._stop()
         logs = {g.process.name: g.process.log() for g in self.gateways}
-        return DrillResult(self.arrivals, self.restarts, self.calls, logs, began)
+        return DrillResult(self.arrivals, self.restarts, self.calls, logs)
 
     async def _start(self) -> None:
         settings = self.settings
--- a/tests/harness/crash_drill/engine.py
+++ b/tests/harness/crash_drill/engine.py
@@ -3,12 +3,13 @@
 import asyncio
 import contextlib
 import socket
-import struct
 import time
 from enum import StrEnum
 
 import attrs
 
+from tests.harness.scripted_engine import reset_connection
+
 CRASH_BODY = b"this content crashes engines"
 # The connections that the kernel completes for a listener that accepts none.
 SILENT_BACKLOG = 1
@@ -131,13 +132,13 @@
 
     def _abort_connections(self) -> None:
         for writer in list(self._writers):
-            _reset(writer)
+            reset_connection(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if not self.is_up:
-            _reset(writer)
+            reset_connection(writer)
             return
         self._writers.add(writer)
         try:
@@ -195,11 +196,3 @@
     lines = head.decode("latin-1").split("\r\n")[1:]
     fields = (line.partition(":") for line in lines if line)
     return {name.lower(): value.strip() for name, _, value in fields}
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    linger = struct.pack("ii", 1, 0)
-    sock = writer.get_extra_info("socket")
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
--- a/tests/harness/scripted_engine.py
+++ b/tests/harness/scripted_engine.py
@@ -45,10 +45,16 @@
 
     def reset(self) -> None:
         """Reset the connection (RST), even if all received bytes were read."""
-        linger = struct.pack("ii", 1, 0)
-        sock = self.writer.get_extra_info("socket")
+        reset_connection(self.writer)
+
+
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection (RST) unless it is closed already."""
+    linger = struct.pack("ii", 1, 0)
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        self.writer.transport.abort()
+    writer.transport.abort()
 
 
 async def answer(exchange: EngineExchange) -> None:
