--- a/dotterelpitch/gateway/call.py
+++ b/dotterelpitch/gateway/call.py
@@ -56,6 +56,11 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def prompt_parts(self) -> tuple[str, ...]:
+        """The parts of the prompt, in order; empty for a request without a prompt."""
+        return self.headers.prompt_parts if self.route.has_prompt else ()
+
     @cached_property
     def shared_parts(self) -> tuple[str, ...]:
         """The prompt parts that other requests may share, in order.
@@ -63,8 +68,7 @@
         The last part is specific to the request and is left out, unless it is the
         only one.
         """
-        parts = self.headers.prompt_parts if self.route.has_prompt else ()
-        return parts[:-1] or parts
+        return self.prompt_parts[:-1] or self.prompt_parts
 
 
 @define
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -135,6 +135,7 @@
             Event.REQUEST_BANNED,
             request=call.request_id,
             fingerprint=call.fingerprint,
+            parts=call.prompt_parts,
             engines=self._engine_tracker.suspects.crashed_engines(call.fingerprint),
         )
         return True
@@ -273,6 +274,7 @@
             account=call.account_name,
             engine=choice.engine.id,
             fingerprint=call.fingerprint,
+            parts=call.prompt_parts,
             reason=choice.reason,
             load=choice.load,
             mean_load=round(choice.mean_load, 1),
