--- a/tests/harness/crash_drill/drill.py
+++ b/tests/harness/crash_drill/drill.py
@@ -4,6 +4,7 @@
 import json
 import random
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import aiohttp
@@ -29,7 +30,6 @@
 MAX_LATE_ARRIVALS = 3
 # The promise covers the requests of gateways that have run for this long.
 CONTACT_SECONDS = 3.0
-DEADLINE_SECONDS = 1.5
 ROUTES = {
     "safe": {"kind": "safe", "max_attempts": 2},
     "unsafe": {"kind": "unsafe", "max_attempts": 1},
@@ -64,46 +64,54 @@
     work_s: float = 0.02
     mesh_vms: int = 16
     restart_interval_s: float = 0.0
+    deadline_s: float = 1.5
     seed: int = 1
 
 
 @attrs.define
 class CallRecord:
-    """A call of a caller and the status of its last attempt, 0 without a response."""
+    """A call of a caller and the status of its attempts, 0 without a response.
+
+    ``status`` is that of the last attempt if it is complete, ``first_status`` that of
+    the first one as soon as its head has come.
+    """
 
     request_id: str
     vm: str
     crashes: bool
     at: float
     status: int = 0
+    first_status: int = 0
 
 
 @attrs.define
 class DrillResult:
     """What engines and callers recorded.
 
-    ``late_arrivals`` are those of the crashing content at engines later than
-    ``STOP_SECONDS`` after its third crash, from gateways that the promise covers.
-    ``restarts`` holds the name and time of each start of a gateway that was killed.
+    ``late_arrivals`` are those of the requests that crash engines later than
+    ``STOP_SECONDS`` after their last crash before they must be stopped, from gateways
+    that the promise covers. ``restarts`` holds the name and time of each start of a
+    gateway that was killed.
     """
 
     arrivals: list[Arrival]
     restarts: list[tuple[str, float]]
     calls: list[CallRecord]
     logs: dict[str, str]
+    crashes_before_stop: int = MAX_CRASHES_BEFORE_STOP
 
     @property
     def crash_arrivals(self) -> list[Arrival]:
-        """The arrivals of the content that crashes engines, in order of time."""
+        """The arrivals of the requests that crash engines, in order of time."""
         return [a for a in self.arrivals if a.crashed]
 
     @property
     def late_arrivals(self) -> list[Arrival]:
-        """The arrivals of that content later than it must have been stopped."""
+        """Those of these arrivals later than they must have been stopped."""
         crashes = self.crash_arrivals
-        if len(crashes) < MAX_CRASHES_BEFORE_STOP:
+        if len(crashes) < self.crashes_before_stop:
             return []
-        until = crashes[MAX_CRASHES_BEFORE_STOP - 1].at + STOP_SECONDS
+        until = crashes[self.crashes_before_stop - 1].at + STOP_SECONDS
         return [a for a in crashes if a.at > until and self._is_covered(a)]
 
     def _is_covered(self, arrival: Arrival) -> bool:
@@ -140,6 +148,10 @@
 class CrashDrill:
     """Gateways, a store, and engines that a request content crashes."""
 
+    routes = ROUTES
+    crashes_before_stop = MAX_CRASHES_BEFORE_STOP
+    result_type = DrillResult
+
     def __init__(self, folder: Path, settings: DrillSettings) -> None:
         self.settings = settings
         self.store = PlatformStore(page_size=500)
@@ -148,8 +160,8 @@
         self.calls: list[CallRecord] = []
         self.arrivals: list[Arrival] = []
         self.restarts: list[tuple[str, float]] = []
+        self.random = random.Random(settings.seed)
         self._folder = folder
-        self._random = random.Random(settings.seed)
         self._tasks: list[asyncio.Task] = []
         self._call_tasks: set[asyncio.Task] = set()
         self._session: aiohttp.ClientSession | None = None
@@ -163,29 +175,25 @@
             async with aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(limit=0)
             ) as self._session:
-                senders = [self._send_crashing(began), self._send_others(began)]
+                senders = [self.send_crashing(began), self.send_others(began)]
                 await asyncio.gather(*senders)
                 await asyncio.gather(*self._call_tasks)
         finally:
             await self._stop()
         logs = {g.process.name: g.process.log() for g in self.gateways}
-        return DrillResult(self.arrivals, self.restarts, self.calls, logs)
+        return self.result_type(
+            self.arrivals, self.restarts, self.calls, logs, self.crashes_before_stop
+        )
 
     async def _start(self) -> None:
         settings = self.settings
         await self.store.start(free_address())
-        config = make_config(1, ROUTES)
+        config = make_config(1, self.routes)
         config["services"][0]["health_path"] = "/health"
         self.store.put("op/config", config)
         for number in range(settings.engines):
             domain = settings.domains[number % len(settings.domains)]
-            engine = CrashableEngine(
-                f"e{number + 1}",
-                domain,
-                settings.death,
-                settings.work_s,
-                self.arrivals,
-            )
+            engine = self.make_engine(f"e{number + 1}", domain)
             await engine.start(free_address())
             self.engines.append(engine)
             self._register(engine)
@@ -197,10 +205,17 @@
         if settings.restart_interval_s:
             self._tasks.append(asyncio.create_task(self._restart_gateways()))
 
+    def make_engine(self, name: str, domain: str) -> CrashableEngine:
+        """Return an engine that isn't started yet."""
+        settings = self.settings
+        return CrashableEngine(
+            name, domain, settings.death, settings.work_s, self.arrivals
+        )
+
     async def _restart_gateways(self) -> None:
         while True:
             await pause(self.settings.restart_interval_s)
-            gateway = self._random.choice(self.gateways)
+            gateway = self.random.choice(self.gateways)
             await gateway.process.kill()
             await gateway.process.start()
             self.restarts.append((gateway.process.name, time.monotonic()))
@@ -258,62 +273,96 @@
             await engine.start(address)
             self._register(engine)
 
-    async def _send_crashing(self, began: float) -> None:
+    async def send_crashing(self, began: float) -> None:
+        """Send the requests that crash engines until the drill's end."""
         settings = self.settings
         await pause(1.0)
         while time.monotonic() < began + settings.seconds:
-            for gateway in self._random.sample(self.gateways, settings.copies):
-                self._send(gateway, f"/{settings.route}/crash", CRASH_BODY)
+            for gateway in self.random.sample(self.gateways, settings.copies):
+                self.send(gateway, f"/{settings.route}/crash", CRASH_BODY, crashes=True)
             await pause(settings.crash_interval_s)
 
-    async def _send_others(self, began: float) -> None:
+    async def send_others(self, began: float) -> None:
+        """Send the other requests until the drill's end."""
         settings = self.settings
         if not settings.calls_per_s:
             return
         while time.monotonic() < began + settings.seconds:
-            gateway = self._random.choice(self.gateways)
+            gateway = self.random.choice(self.gateways)
             number = len(self.calls)
-            self._send(gateway, f"/safe/{number}", f"call {number}".encode())
-            await pause(self._random.expovariate(settings.calls_per_s))
+            self.send(gateway, f"/safe/{number}", f"call {number}".encode())
+            await pause(self.random.expovariate(settings.calls_per_s))
+
+    def send(
+        self,
+        gateway: GatewayProcess,
+        path: str,
+        body: bytes,
+        headers: dict[str, str] | None = None,
+        crashes: bool = False,
+    ) -> None:
+        """Send a request, with further ``headers``, without waiting for its response.
 
-    def _send(self, gateway: GatewayProcess, path: str, body: bytes) -> None:
+        ``crashes`` is whether it crashes engines.
+        """
         record = CallRecord(
             f"r{len(self.calls):06}",
             gateway.process.name,
-            body == CRASH_BODY,
+            crashes,
             time.monotonic(),
         )
         self.calls.append(record)
-        task = asyncio.create_task(self._call(gateway, path, body, record))
+        call = self._call(gateway, path, body, headers or {}, record)
+        task = asyncio.create_task(call)
         self._call_tasks.add(task)
         task.add_done_callback(self._call_tasks.discard)
 
     async def _call(
-        self, gateway: GatewayProcess, path: str, body: bytes, record: CallRecord
+        self,
+        gateway: GatewayProcess,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        record: CallRecord,
     ) -> None:
         """Send a request, and once more at any gateway if it isn't served."""
-        record.status = await self._exchange(gateway, path, body, record.request_id)
+
+        def began(status: int) -> None:
+            record.first_status = status
+
+        headers = {**headers, "Request-Id": record.request_id}
+        record.status = await self._exchange(gateway, path, body, headers, began)
         if record.status != 200 and not record.crashes:
-            gateway = self._random.choice(self.gateways)
-            retry_id = f"{record.request_id}-retry"
-            record.status = await self._exchange(gateway, path, body, retry_id)
+            gateway = self.random.choice(self.gateways)
+            headers["Request-Id"] = f"{record.request_id}-retry"
+            record.status = await self._exchange(gateway, path, body, headers)
 
     async def _exchange(
-        self, gateway: GatewayProcess, path: str, body: bytes, request_id: str
+        self,
+        gateway: GatewayProcess,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        on_head: Callable[[int], None] = lambda _: None,
     ) -> int:
-        """Return the status of the response, or 0 without one."""
+        """Return the status of the complete response, or 0 without one.
+
+        ``on_head`` is called with the status once the head has come.
+        """
+        deadline_s = self.settings.deadline_s
         headers = {
+            **headers,
             "Host": HOST,
-            "Request-Id": request_id,
             "Credential": KEY,
-            "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+            "Deadline-Ms": str(int(deadline_s * 1000)),
         }
         url = f"http://{gateway.caller_address}{path}"
         try:
             async with (
-                asyncio.timeout(DEADLINE_SECONDS + 0.5),
+                asyncio.timeout(deadline_s + 0.5),
                 self._session.post(url, headers=headers, data=body) as reply,
             ):
+                on_head(reply.status)
                 await reply.read()
                 return reply.status
         except (aiohttp.ClientError, OSError, TimeoutError):
--- a/tests/harness/crash_drill/engine.py
+++ b/tests/harness/crash_drill/engine.py
@@ -158,7 +158,7 @@
         head = await reader.readuntil(b"\r\n\r\n")
         headers = _parse_headers(head)
         body = await reader.readexactly(int(headers.get("content-length", 0)))
-        if not self.is_up or self._run != run:
+        if self.has_ended(run):
             await run_over.wait()
             return False
         if head.startswith(b"GET /health "):
@@ -173,24 +173,59 @@
                 b"Content-Length: 0\r\n\r\n"
             )
             return True
-        request_id = headers["request-id"]
-        crashes = body == CRASH_BODY
+        crashes = self.crashes_under(headers, body)
         self._arrivals.append(
-            Arrival(request_id, f"{self.id}#{run}", time.monotonic(), crashes)
+            Arrival(
+                headers["request-id"], f"{self.id}#{run}", time.monotonic(), crashes
+            )
         )
-        await asyncio.sleep(0 if crashes else self._work_s)
         if crashes:
+            await self.begin_crashing_response(headers, writer)
             self.crash()
-        if not self.is_up or self._run != run:
+        else:
+            await self.respond(headers, body, writer)
+        if self.has_ended(run):
             await run_over.wait()
             return False
-        writer.write(
-            f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Seal: s\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode()
-            + body
-        )
         return True
 
+    def crashes_under(self, headers: dict[str, str], body: bytes) -> bool:
+        """Return whether a request crashes the engine; names are in lower case."""
+        return body == CRASH_BODY
+
+    async def begin_crashing_response(
+        self, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        """Do what the engine still does before it ends."""
+
+    async def respond(
+        self, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Write the response to a request that doesn't crash the engine."""
+        run = self.run_number
+        await asyncio.sleep(self._work_s)
+        if not self.has_ended(run):
+            writer.write(response_head(headers, f"Content-Length: {len(body)}") + body)
+
+    @property
+    def run_number(self) -> int:
+        """The number of the current run."""
+        return self._run
+
+    def has_ended(self, run: int) -> bool:
+        """Return whether a run of this engine has ended."""
+        return not self.is_up or self._run != run
+
+
+def response_head(headers: dict[str, str], *lines: str) -> bytes:
+    """Return the head of the response to the request with these headers."""
+    head = [
+        "HTTP/1.1 200 OK",
+        f"Request-Id: {headers['request-id']}",
+        "Response-Seal: s",
+    ]
+    return "\r\n".join([*head, *lines, "", ""]).encode()
+
 
 def _parse_headers(head: bytes) -> dict[str, str]:
     lines = head.decode("latin-1").split("\r\n")[1:]
