Keep the crash history of suspects apart from the decision who is banned

No behaviour is meant to change. What replicates crashes and clearances between VMs moves from crash_suspects to crash_history, and names a suspect in place of a fingerprint, so that it can hold something other than contents.

--- a/dotterelpitch/gateway/digest_exchange.py
+++ b/dotterelpitch/gateway/digest_exchange.py
@@ -11,7 +11,7 @@
     CrashReport,
     GatewayDigest,
 )
-from dotterelpitch.routing.crash_suspects import Clearance, Crash
+from dotterelpitch.routing.crash_history import Clearance, Crash
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.telemetry.events import Event, log_event
 
@@ -60,7 +60,7 @@
             count_by_engine=self._loads_for(link),
             crashes=[
                 CrashReport(
-                    c.fingerprint,
+                    c.suspect,
                     c.engine,
                     c.engine_run,
                     self._age_ms(c.at),
@@ -68,9 +68,7 @@
                 )
                 for c in crashes
             ],
-            cleared=[
-                ClearanceReport(c.fingerprint, self._age_ms(c.at)) for c in cleared
-            ],
+            cleared=[ClearanceReport(c.suspect, self._age_ms(c.at)) for c in cleared],
         )
 
     def apply(self, link: Link, digest: GatewayDigest) -> None:
--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -5,7 +5,8 @@
 from dotterelpitch.gateway.call import Call
 from dotterelpitch.routing.attempt_outcomes import AttemptOutcome
 from dotterelpitch.routing.crash_detector import CrashDetector
-from dotterelpitch.routing.crash_suspects import Crash, CrashSuspects, CrashVerdict
+from dotterelpitch.routing.crash_history import Crash
+from dotterelpitch.routing.crash_suspects import CrashSuspects, CrashVerdict
 from dotterelpitch.routing.domain_reachability import DomainReachability
 from dotterelpitch.routing.engine_choice import EngineChoice
 from dotterelpitch.routing.engines import Engine
@@ -141,5 +142,5 @@
             engine=engine.id,
             run=crashes[0].engine_run,
             evidence=evidence,
-            fingerprints=[crash.fingerprint for crash in crashes],
+            fingerprints=[crash.suspect for crash in crashes],
         )
--- a/dotterelpitch/protocol/digest_messages.py
+++ b/dotterelpitch/protocol/digest_messages.py
@@ -7,7 +7,7 @@
 from attrs import field, frozen
 
 from dotterelpitch.protocol.codec import message
-from dotterelpitch.routing.crash_suspects import Clearance, Crash
+from dotterelpitch.routing.crash_history import Clearance, Crash
 from dotterelpitch.routing.engine_load import EngineLoad
 from dotterelpitch.routing.limits import AccountUsage
 
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -13,7 +13,8 @@
 from attrs import define, field, frozen
 
 from dotterelpitch.clock import Clock
-from dotterelpitch.routing.crash_suspects import Crash, CrashSuspects
+from dotterelpitch.routing.crash_history import Crash
+from dotterelpitch.routing.crash_suspects import CrashSuspects
 from dotterelpitch.routing.engines import Engine
 
 # A busy engine says something more often than this.
@@ -76,7 +77,7 @@
     >>> engine = Engine("e1", "chat", "127.0.0.1:1", "a", started_ms=7)
     >>> attempt = detector.attempt_sent(engine, "a")
     >>> detector.attempt_ended(attempt, is_broken=True)
-    >>> [crash.fingerprint for crash in detector.engine_ended(engine)]
+    >>> [crash.suspect for crash in detector.engine_ended(engine)]
     ['a']
     """
 
--- /dev/null
+++ b/dotterelpitch/routing/crash_history.py
@@ -0,0 +1,194 @@
+"""Crashes and what was in flight in them, replicated between the VMs of a fleet.
+
+A *suspect* is named by a string: the fingerprint of a request's content, or a prompt
+part. Which suspects are banned is decided by the subclasses of ``CrashHistory``.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from itertools import islice
+
+from attrs import define, field, frozen
+
+from dotterelpitch.clock import Clock
+
+# Crashes and clearances count for this long.
+SUSPICION_SECONDS = 3600.0
+# Bounds the memory; the records updated longest ago are evicted.
+MAX_SUSPECTS = 10_000
+# Bounds what a newly connected peer is sent: about the crashes of ten full engines.
+MAX_RECENT_UPDATES = 512
+# Copies of one clearance that arrive over two paths differ by less than this, since
+# ages are truncated to milliseconds on the wire.
+CLEARANCE_TOLERANCE_SECONDS = 1.0
+
+RunKey = tuple[str, str]
+
+
+@frozen
+class Crash:
+    """The crash of an engine with one suspect in flight.
+
+    ``engine_run`` distinguishes the crashes of one engine: the gateway uses the
+    engine's start time, the router its VM and the time of the crash. ``at`` is in
+    Unix seconds. ``was_running`` is whether the engine had been sending the response
+    for a while, so that the request's start didn't crash it.
+    """
+
+    suspect: str
+    engine: str
+    engine_run: str
+    at: float
+    was_running: bool = False
+
+    @property
+    def run_key(self) -> RunKey:
+        """The engine and its run, equal for all suspects of one crash."""
+        return self.engine, self.engine_run
+
+
+@frozen
+class Clearance:
+    """The completion of a suspect on an engine; ``at`` is in Unix seconds."""
+
+    suspect: str
+    at: float
+
+
+@define
+class SuspectRecord:
+    """The crashes of one suspect, and when it last completed, in Unix seconds."""
+
+    crash_by_run: dict[RunKey, Crash] = field(factory=dict)
+    cleared_at: float = 0.0
+
+    def crashes(self, oldest: float) -> list[Crash]:
+        """Return the crashes after ``oldest`` and the last clearance."""
+        start = max(oldest, self.cleared_at)
+        return [crash for crash in self.crash_by_run.values() if crash.at > start]
+
+
+class CrashHistory:
+    """The crash records of suspects.
+
+    Merging is idempotent and independent of the order of messages, so any gossip
+    protocol can replicate it. ``max_crashes`` is how many crashes may ban a suspect.
+
+    >>> from dotterelpitch.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> history = CrashHistory(clock, max_crashes=3)
+    >>> history.merge([Crash("a", "e1", "run-1", clock.wall())], [])
+    >>> history.crashed_engines("a")
+    ['e1']
+    """
+
+    def __init__(self, clock: Clock, max_crashes: int) -> None:
+        self._clock = clock
+        self._max_crashes = max_crashes
+        self._record_by_suspect: OrderedDict[str, SuspectRecord] = OrderedDict()
+        self._suspects_by_run: dict[RunKey, set[str]] = {}
+        self._recent_updates: deque[Crash | Clearance] = deque(
+            maxlen=MAX_RECENT_UPDATES
+        )
+        self._update_count = 0
+
+    def crashed_engines(self, suspect: str) -> list[str]:
+        """Return the engines that crashed with this suspect in flight, for logs."""
+        return [crash.engine for crash in self.crashes_of(suspect)]
+
+    def crashes_of(self, suspect: str) -> list[Crash]:
+        """Return the crashes of a suspect that count now."""
+        record = self._record_by_suspect.get(suspect)
+        return self._crashes(record) if record else []
+
+    def merge(self, crashes: Iterable[Crash], cleared: Iterable[Clearance]) -> None:
+        """Add the crashes and clearances that a peer has sent."""
+        for crash in crashes:
+            self._merge_crash(crash)
+        for clearance in cleared:
+            record = self._get_or_create(clearance.suspect)
+            if clearance.at > record.cleared_at + CLEARANCE_TOLERANCE_SECONDS:
+                self._add_update(clearance)
+            record.cleared_at = max(record.cleared_at, clearance.at)
+        self._evict_oldest()
+
+    def updates_after(self, count: int) -> tuple[int, list[Crash], list[Clearance]]:
+        """Return the total update count, and the updates after the first ``count``.
+
+        At most ``MAX_RECENT_UPDATES`` are returned, so that a new peer isn't
+        flooded. If more are missing, those of the suspects with the most crashes come
+        first: a peer that lacks them would let these crash engines again.
+        """
+        missed = self._update_count - count
+        kept = list(self._recent_updates)
+        recent = kept[len(kept) - missed :] if missed <= len(kept) else self._snapshot()
+        crashes = [update for update in recent if isinstance(update, Crash)]
+        cleared = [update for update in recent if isinstance(update, Clearance)]
+        return self._update_count, crashes, cleared
+
+    def digest(self) -> tuple[list[Crash], list[Clearance]]:
+        """Return all crashes and clearances that still count, for a full transfer."""
+        oldest = self._clock.wall() - SUSPICION_SECONDS
+        crashes, cleared = [], []
+        for suspect, record in self._record_by_suspect.items():
+            crashes += [c for c in record.crash_by_run.values() if c.at > oldest]
+            if record.cleared_at > oldest:
+                cleared.append(Clearance(suspect, record.cleared_at))
+        return crashes, cleared
+
+    def _snapshot(self) -> list[Crash | Clearance]:
+        """Return the updates that matter most to a peer without any."""
+        records = sorted(
+            self._record_by_suspect.values(),
+            key=lambda record: len(self._crashes(record)),
+            reverse=True,
+        )
+        crashes = (crash for record in records for crash in self._crashes(record))
+        return list(islice(crashes, MAX_RECENT_UPDATES))
+
+    def _crashes(self, record: SuspectRecord) -> list[Crash]:
+        return record.crashes(self._clock.wall() - SUSPICION_SECONDS)
+
+    def _merge_crash(self, crash: Crash) -> None:
+        record = self._get_or_create(crash.suspect)
+        known = record.crash_by_run.get(crash.run_key)
+        if known is None:
+            self._add_update(crash)
+        if known is None or crash.at < known.at:
+            record.crash_by_run[crash.run_key] = crash
+        self._suspects_by_run.setdefault(crash.run_key, set()).add(crash.suspect)
+
+    def _add_update(self, update: Crash | Clearance) -> None:
+        self._recent_updates.append(update)
+        self._update_count += 1
+
+    def _get_or_create(self, suspect: str) -> SuspectRecord:
+        record = self._record_by_suspect.setdefault(suspect, SuspectRecord())
+        self._record_by_suspect.move_to_end(suspect)
+        return record
+
+    def _evict_oldest(self) -> None:
+        """Evict the records updated longest ago; those of banned suspects last."""
+        excess = len(self._record_by_suspect) - MAX_SUSPECTS
+        if excess <= 0:
+            return
+        others = (
+            suspect
+            for suspect, record in self._record_by_suspect.items()
+            if not self._may_be_banned(record)
+        )
+        oldest = list(islice(others, excess))
+        oldest += list(islice(self._record_by_suspect, excess - len(oldest)))
+        for suspect in oldest:
+            self._evict(suspect)
+
+    def _may_be_banned(self, record: SuspectRecord) -> bool:
+        return len(record.crash_by_run) >= self._max_crashes
+
+    def _evict(self, suspect: str) -> None:
+        record = self._record_by_suspect.pop(suspect)
+        for run_key in record.crash_by_run:
+            suspects = self._suspects_by_run[run_key]
+            suspects.discard(suspect)
+            if not suspects:
+                del self._suspects_by_run[run_key]
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -91,7 +91,7 @@
     if has_ended:
         detector.attempt_ended(attempt, is_broken=False)
     clock.advance(1.0)
-    assert [c.fingerprint for c in detector.engine_ended(engine("e1"))] == ["bad"]
+    assert [c.suspect for c in detector.engine_ended(engine("e1"))] == ["bad"]
 
 
 # Guards against: an engine that has too many connections and refuses one more makes
@@ -103,7 +103,7 @@
     detector.heard_from("e1")
     clock.advance(0.2)
     lose(detector, "e1", "lost")
-    assert [c.fingerprint for c in detector.engine_ended(engine("e1"))] == ["lost"]
+    assert [c.suspect for c in detector.engine_ended(engine("e1"))] == ["lost"]
 
 
 def test_request_that_completes_elsewhere_asks_for_no_check(detector, clock):
@@ -153,7 +153,7 @@
 def test_later_start_under_the_same_id_proves_the_crash_before(detector, suspects):
     lose(detector, "e1", "bad")
     detector.heard_from("e1")
-    assert [c.fingerprint for c in detector.engine_restarted(engine("e1"))] == ["bad"]
+    assert [c.suspect for c in detector.engine_restarted(engine("e1"))] == ["bad"]
 
 
 def test_ban_is_replicated_by_digest(detector, suspects, clock):
--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -4,10 +4,8 @@
 
 import pytest
 
-from dotterelpitch.routing.crash_suspects import (
-    MAX_RECENT_UPDATES,
-    CrashVerdict,
-)
+from dotterelpitch.routing.crash_history import MAX_RECENT_UPDATES
+from dotterelpitch.routing.crash_suspects import CrashVerdict
 from dotterelpitch.routing.engines import Engine
 from tests.harness.crash_drill.drill import MAX_LATE_ARRIVALS, STOP_SECONDS
 from tests.harness.simulated_gateways import PERIOD_SECONDS, make_fleet
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -3,13 +3,8 @@
 import pytest
 
 from dotterelpitch.clock import ManualClock
-from dotterelpitch.routing.crash_suspects import (
-    MAX_RECENT_UPDATES,
-    MAX_SUSPECTS,
-    Crash,
-    CrashSuspects,
-    CrashVerdict,
-)
+from dotterelpitch.routing.crash_history import MAX_RECENT_UPDATES, MAX_SUSPECTS, Crash
+from dotterelpitch.routing.crash_suspects import CrashSuspects, CrashVerdict
 
 ALONE, BANNED = CrashVerdict.ALONE, CrashVerdict.BANNED
 
--- a/tests/test_routing_protection.py
+++ b/tests/test_routing_protection.py
@@ -20,12 +20,8 @@
 )
 from dotterelpitch.router.routing_hub import RoutingHub
 from dotterelpitch.router.state import FleetState
-from dotterelpitch.routing.crash_suspects import (
-    MAX_SUSPECTS,
-    SUSPICION_SECONDS,
-    CrashSuspects,
-    CrashVerdict,
-)
+from dotterelpitch.routing.crash_history import MAX_SUSPECTS, SUSPICION_SECONDS
+from dotterelpitch.routing.crash_suspects import CrashSuspects, CrashVerdict
 from dotterelpitch.routing.digests import Topic, decode_digest, encode_digest
 from dotterelpitch.routing.engine_load import EngineLoad
 from dotterelpitch.routing.limits import AccountLimits, AccountUsage
