Ban a content only when its third crash can have been reported by all

What callers saw: in the drills of a crashing prompt part, 3 to 13 attempts of sound requests were refused as if their content crashed engines (409).

Cause: a ban waited until peers could have reported the first of the three crashes, and not the third, so that the request at fault seemed to have no more crashes than one that was only beside it.

The new test failed before.

--- a/dotterelpitch/routing/crash_suspects.py
+++ b/dotterelpitch/routing/crash_suspects.py
@@ -68,7 +68,11 @@
     def verdict(self, fingerprint: str) -> CrashVerdict:
         """Return how a request with this content may run now."""
         crashes = self.crashes_of(fingerprint)
-        if len(crashes) >= self._max_crashes and self._is_cause_of_any(crashes):
+        latest = self._clock.wall() - self._report_delay_s
+        reported = [crash for crash in crashes if crash.at <= latest]
+        if len(reported) >= self._max_crashes and self._is_cause_of_any(
+            reported, len(crashes)
+        ):
             return CrashVerdict.BANNED
         return CrashVerdict.ALONE if crashes else CrashVerdict.FREE
 
@@ -96,13 +100,12 @@
         self.merge([], [clearance])
         return clearance
 
-    def _is_cause_of_any(self, crashes: list[Crash]) -> bool:
-        """Return whether one of a request's crashes isn't explained by another."""
-        latest = self._clock.wall() - self._report_delay_s
-        return any(
-            crash.at <= latest and not self._is_explained(crash, len(crashes))
-            for crash in crashes
-        )
+    def _is_cause_of_any(self, crashes: list[Crash], crash_count: int) -> bool:
+        """Return whether another request explains not all of these crashes.
+
+        ``crash_count`` is the number of all crashes of their request.
+        """
+        return any(not self._is_explained(crash, crash_count) for crash in crashes)
 
     def _is_explained(self, crash: Crash, crash_count: int) -> bool:
         """Return whether another request in flight is more likely the cause.
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -75,6 +75,19 @@
     assert suspects.verdict("bad") is BANNED
 
 
+# Guards against: a request beside a chain is banned before its last crash is reported.
+def test_ban_waits_for_the_reports_of_the_last_crash_that_it_needs(clock):
+    suspects = CrashSuspects(clock, max_crashes=3, report_delay_s=0.5)
+    for n in range(3):
+        suspects.engine_died(f"e{n}", "1", ["bad", "beside"])
+        clock.advance(0.3)
+    assert suspects.verdict("beside") is ALONE
+    suspects.engine_died("e3", "1", ["bad"])
+    clock.advance(0.5)
+    assert suspects.verdict("beside") is ALONE
+    assert suspects.verdict("bad") is BANNED
+
+
 # Guards against: later crashes push a ban out of what a new peer is sent.
 def test_new_peer_is_sent_bans_before_other_crashes(clock):
     suspects = CrashSuspects(clock, max_crashes=3)
