Ban the prompt part that crashes engines, whatever else its requests hold

What callers saw: requests with one prompt part, no two alike, crashed one engine after the other, as long as they came; streams of sound callers broke, and the rest was refused or late, since few engines were left.

Class: an identity finer than the cause, so that the evidence never meets.

Change: a crash also counts against each part, but the last, of a request that was just starting there. A part is cleared when a request with it completes or is responded to for a second. What is left after three crashes (five, if it was sound a minute before) that no single content explains bans the requests that hold it, unless something outside the request explains the crashes as well. VMs report parts to one another beside contents, as many as before in one message, and what they know to be sound. A ban ends by a completion, by a trial that becomes rarer with each crash, or after an hour. A content isn't banned for crashes that a part explains.

--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -40,7 +40,7 @@
             self._call.service, route.objective_s
         )
         self._attempt = self._crash_watcher.attempt_sent(
-            self._engine, self._call.fingerprint
+            self._engine, self._call.fingerprint, self._call.leading_parts
         )
 
     def head_received(
--- a/dotterelpitch/gateway/call.py
+++ b/dotterelpitch/gateway/call.py
@@ -61,14 +61,18 @@
         """The parts of the prompt, in order; empty for a request without a prompt."""
         return self.headers.prompt_parts if self.route.has_prompt else ()
 
+    @property
+    def leading_parts(self) -> tuple[str, ...]:
+        """The parts of the prompt but the last, which is specific to the request."""
+        return self.prompt_parts[:-1]
+
     @cached_property
     def shared_parts(self) -> tuple[str, ...]:
         """The prompt parts that other requests may share, in order.
 
-        The last part is specific to the request and is left out, unless it is the
-        only one.
+        The last part is left out, unless it is the only one.
         """
-        return self.prompt_parts[:-1] or self.prompt_parts
+        return self.leading_parts or self.prompt_parts
 
 
 @define
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -57,17 +57,23 @@
         self._checked_at_by_engine: dict[str, float] = {}
 
     async def run(self) -> None:
-        """Check the silent engines periodically until cancelled."""
+        """Check the silent engines periodically until cancelled.
+
+        What has survived its start meanwhile is recorded as well.
+        """
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
             self._drop_old_check_times()
+            self._detector.record_sound_parts()
             for engine in self._detector.silent_engines():
                 if engine.id not in self._checked_at_by_engine:
                     self.check_soon(engine)
 
-    def attempt_sent(self, engine: Engine, fingerprint: str) -> UnansweredAttempt:
+    def attempt_sent(
+        self, engine: Engine, fingerprint: str, parts: tuple[str, ...] = ()
+    ) -> UnansweredAttempt:
         """Record that a request was sent to an engine."""
-        return self._detector.attempt_sent(engine, fingerprint)
+        return self._detector.attempt_sent(engine, fingerprint, parts)
 
     def heard_from(self, engine: Engine) -> None:
         """Record bytes from an engine."""
--- a/dotterelpitch/gateway/digest_exchange.py
+++ b/dotterelpitch/gateway/digest_exchange.py
@@ -1,5 +1,7 @@
 """Creates this gateway's digests and applies those of its peers."""
 
+from typing import TypeVar
+
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.link import Link, LinkTable
@@ -17,6 +19,11 @@
 
 # An engine that crashed longer ago may be back.
 MAX_REPORT_AGE_MS = 2000
+# Reports on prompt parts have this before the part in place of a fingerprint, which is
+# hexadecimal, so that gateways of an older version can read them.
+PART_PREFIX = "part:"
+
+_Report = TypeVar("_Report", CrashReport, ClearanceReport)
 
 
 class DigestExchange:
@@ -44,6 +51,7 @@
         self._loads = loads
         self._engine_tracker = engine_tracker
         self._suspects = engine_tracker.suspects
+        self._part_suspects = engine_tracker.part_suspects
         self._reader_selection = reader_selection
 
     def make(self, link: Link) -> GatewayDigest:
@@ -51,6 +59,9 @@
         link.crash_reports_sent, crashes, cleared = self._suspects.updates_after(
             link.crash_reports_sent
         )
+        link.part_reports_sent, part_crashes, sound_parts = (
+            self._part_suspects.updates_after(link.part_reports_sent)
+        )
         config = self._state.config
         return GatewayDigest(
             relay=self._topology.relay,
@@ -59,16 +70,16 @@
             store_age_ms=self._state.age_ms,
             count_by_engine=self._loads_for(link),
             crashes=[
-                CrashReport(
-                    c.suspect,
-                    c.engine,
-                    c.engine_run,
-                    self._age_ms(c.at),
-                    c.was_running,
-                )
-                for c in crashes
+                *(self._crash_report(c.suspect, c) for c in crashes),
+                *(self._crash_report(PART_PREFIX + c.suspect, c) for c in part_crashes),
+            ],
+            cleared=[
+                *(ClearanceReport(c.suspect, self._age_ms(c.at)) for c in cleared),
+                *(
+                    ClearanceReport(PART_PREFIX + c.suspect, self._age_ms(c.at))
+                    for c in sound_parts
+                ),
             ],
-            cleared=[ClearanceReport(c.suspect, self._age_ms(c.at)) for c in cleared],
         )
 
     def apply(self, link: Link, digest: GatewayDigest) -> None:
@@ -89,24 +100,18 @@
         self._apply_crashes(peer.name, digest)
 
     def _apply_crashes(self, peer: str, digest: GatewayDigest) -> None:
-        self._log_crashes(peer, digest.crashes)
+        crashes, part_crashes = _split(digest.crashes)
+        cleared, sound_parts = _split(digest.cleared)
+        self._log_crashes(peer, crashes)
         self._suspects.merge(
-            [
-                Crash(
-                    c.fingerprint,
-                    c.engine,
-                    c.engine_run,
-                    self._wall_time(c.age_ms),
-                    c.was_running,
-                )
-                for c in digest.crashes
-            ],
-            [
-                Clearance(c.fingerprint, self._wall_time(c.age_ms))
-                for c in digest.cleared
-            ],
+            [self._crash(c.fingerprint, c) for c in crashes],
+            [self._clearance(c.fingerprint, c) for c in cleared],
         )
-        for crash in digest.crashes:
+        self._part_suspects.merge(
+            [self._crash(_part(c), c) for c in part_crashes],
+            [self._clearance(_part(c), c) for c in sound_parts],
+        )
+        for crash in crashes:
             self._apply_engine_end(crash)
 
     def _apply_engine_end(self, crash: CrashReport) -> None:
@@ -149,8 +154,40 @@
             return self._loads.counts_with(self._links.members_of(self._vm))
         return {}
 
+    def _crash_report(self, name: str, crash: Crash) -> CrashReport:
+        return CrashReport(
+            name,
+            crash.engine,
+            crash.engine_run,
+            self._age_ms(crash.at),
+            crash.was_running,
+        )
+
+    def _crash(self, suspect: str, report: CrashReport) -> Crash:
+        return Crash(
+            suspect,
+            report.engine,
+            report.engine_run,
+            self._wall_time(report.age_ms),
+            report.was_running,
+        )
+
+    def _clearance(self, suspect: str, report: ClearanceReport) -> Clearance:
+        return Clearance(suspect, self._wall_time(report.age_ms))
+
     def _age_ms(self, at: float) -> int:
         return int(max(0.0, self._clock.wall() - at) * 1000)
 
     def _wall_time(self, age_ms: int) -> float:
         return self._clock.wall() - age_ms / 1000
+
+
+def _split(reports: list[_Report]) -> tuple[list[_Report], list[_Report]]:
+    """Return the reports on contents, and those on prompt parts."""
+    contents = [r for r in reports if not r.fingerprint.startswith(PART_PREFIX)]
+    parts = [r for r in reports if r.fingerprint.startswith(PART_PREFIX)]
+    return contents, parts
+
+
+def _part(report: CrashReport | ClearanceReport) -> str:
+    return report.fingerprint.removeprefix(PART_PREFIX)
--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -17,6 +17,7 @@
     HealthPolicy,
     HealthState,
 )
+from dotterelpitch.routing.part_suspects import PartSuspects
 from dotterelpitch.routing.prompt_cache_index import PromptCacheIndex
 from dotterelpitch.telemetry.events import Event, log_event
 
@@ -48,11 +49,19 @@
         self.domain_reachability = DomainReachability(clock, failure_domain)
         self.prompt_cache = PromptCacheIndex(clock)
         self.suspects = CrashSuspects(clock, MAX_CRASHED_ENGINES, REPORT_DELAY_SECONDS)
-        self.crash_detector = CrashDetector(vm, clock, self.suspects)
+        self.part_suspects = PartSuspects(clock, self.suspects, REPORT_DELAY_SECONDS)
+        self.crash_detector = CrashDetector(
+            vm, clock, self.suspects, self.part_suspects
+        )
 
     def is_banned(self, call: Call) -> bool:
         """Return whether requests with this content have crashed engines."""
-        return self.suspects.verdict(call.fingerprint) is CrashVerdict.BANNED
+        verdict = self.suspects.verdict(call.fingerprint, self.part_suspects.explains)
+        return verdict is CrashVerdict.BANNED
+
+    def banned_part(self, call: Call) -> str | None:
+        """Return the prompt part for which a call is banned, or None."""
+        return self.part_suspects.banned_part(call.leading_parts)
 
     def heard_from(self, engine: Engine) -> None:
         """Record bytes from an engine."""
@@ -71,6 +80,7 @@
             self.prompt_cache.record(engine.run_id, call.shared_parts)
             self.crash_detector.content_completed(call.fingerprint)
             self.suspects.record_completion(call.fingerprint)
+            self.part_suspects.record_sound(call.leading_parts)
         if result.failure is None:
             self.health.record_success(engine.id)
             self.domain_reachability.record_response(engine.failure_domain)
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -50,6 +50,7 @@
 UNSAFE_PROBE_SHARE = 0.1
 
 BANNED_REASON = "requests with this content have crashed engines"
+BANNED_PART_REASON = "requests with this prompt part have crashed engines"
 
 
 @define
@@ -124,6 +125,8 @@
             return "its deadline is too near"
         if self._is_banned(call):
             return BANNED_REASON
+        if self._has_banned_part(call, may_try=True):
+            return BANNED_PART_REASON
         if not self._concurrency_limiter.admits(call.service, call.priority):
             return "the engines have more work than they can do in time"
         return ""
@@ -140,6 +143,25 @@
         )
         return True
 
+    def _has_banned_part(self, call: Call, may_try: bool = False) -> bool:
+        """Return whether a call must not be forwarded for a part of its prompt.
+
+        ``may_try`` allows it to be the trial that is due; one of the VMs does it.
+        """
+        part = self._engine_tracker.banned_part(call)
+        if part is None:
+            return False
+        suspects = self._engine_tracker.part_suspects
+        is_chosen = may_try and random.random() < 1 / self._retry_budget.vm_count
+        is_tried = is_chosen and suspects.try_trial(part)
+        log_event(
+            Event.PART_TRIED if is_tried else Event.PART_BANNED,
+            request=call.request_id,
+            part=part,
+            engines=suspects.crashed_engines(part),
+        )
+        return not is_tried
+
     def _has_time(self, call: Call) -> bool:
         """Return whether another attempt could complete before the deadline."""
         min_s = MIN_ATTEMPT_OBJECTIVES * call.route.objective_s
@@ -226,7 +248,9 @@
 
     def _may_retry(self, call: Call, progress: CallProgress) -> bool:
         """Return whether to retry, and charge the retry to the budget."""
-        if not self._has_time(call) or self._is_banned(call):
+        if not self._has_time(call):
+            return False
+        if self._is_banned(call) or self._has_banned_part(call):
             return False
         if progress.unsent_count >= MAX_UNSENT_ATTEMPTS:
             return False
--- a/dotterelpitch/gateway/link.py
+++ b/dotterelpitch/gateway/link.py
@@ -12,7 +12,8 @@
 
     ``relay`` is the name of the VM that reports the peer's load to the fleet; it is
     empty before the peer's first digest. ``crash_reports_sent`` is the count of crash
-    and clearance reports up to the last one sent. ``list_sent`` is the last fleet list
+    and clearance reports up to the last one sent, ``part_reports_sent`` that of those
+    on prompt parts. ``list_sent`` is the last fleet list
     sent and ``list_sent_at`` its time on the monotonic clock, in seconds.
     """
 
@@ -20,6 +21,7 @@
     stream: Stream
     relay: str = ""
     crash_reports_sent: int = 0
+    part_reports_sent: int = 0
     list_sent: tuple[FleetVm, ...] = ()
     list_sent_at: float = float("-inf")
 
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -27,8 +27,9 @@
 class CrashReport:
     """An engine crash with a request in flight.
 
-    ``fingerprint`` identifies the content of the request. ``was_running`` is whether
-    the engine had been sending the response for a while.
+    ``fingerprint`` identifies the content of the request, or, behind a prefix, a
+    part of its prompt. ``was_running`` is whether the engine had been sending the
+    response for a while.
     """
 
     fingerprint: str
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -10,12 +10,15 @@
 a second request nor a peer for it.
 """
 
+from itertools import chain
+
 from attrs import define, field, frozen
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.routing.crash_history import Crash
 from dotterelpitch.routing.crash_suspects import CrashSuspects
 from dotterelpitch.routing.engines import Engine
+from dotterelpitch.routing.part_suspects import PartSuspects
 
 # A busy engine says something more often than this.
 SILENCE_SECONDS = 0.4
@@ -34,7 +37,8 @@
 class UnansweredAttempt:
     """A request sent to an engine that hasn't answered it.
 
-    ``engine`` is as it was registered then. All times are of the monotonic clock, in
+    ``parts`` are the prompt parts that may crash engines. ``engine`` is as it was
+    registered then. All times are of the monotonic clock, in
     seconds. ``ended_at`` is None while it is in flight, and ``first_output_at`` None
     before the first byte of the response. ``is_broken`` is whether its connection
     broke.
@@ -42,6 +46,7 @@
 
     engine: Engine
     fingerprint: str
+    parts: tuple[str, ...]
     sent_at: float
     first_output_at: float | None = None
     ended_at: float | None = None
@@ -68,12 +73,13 @@
 class CrashDetector:
     """The unanswered attempts at each engine, and its last sign of life.
 
-    ``vm`` is the name of this VM. Crashes are recorded in ``suspects``.
+    ``vm`` is the name of this VM. Crashes are recorded in ``suspects`` and
+    ``part_suspects``.
 
     >>> from dotterelpitch.clock import ManualClock
     >>> clock = ManualClock()
     >>> suspects = CrashSuspects(clock)
-    >>> detector = CrashDetector("vm-1", clock, suspects)
+    >>> detector = CrashDetector("vm-1", clock, suspects, PartSuspects(clock, suspects))
     >>> engine = Engine("e1", "chat", "127.0.0.1:1", "a", started_ms=7)
     >>> attempt = detector.attempt_sent(engine, "a")
     >>> detector.attempt_ended(attempt, is_broken=True)
@@ -84,14 +90,17 @@
     _vm: str
     _clock: Clock
     _suspects: CrashSuspects
+    _part_suspects: PartSuspects
     _attempts_by_engine: dict[str, list[UnansweredAttempt]] = field(factory=dict)
     _heard_at_by_engine: dict[str, float] = field(factory=dict)
     _last_end_by_engine: dict[str, _RunEnd] = field(factory=dict)
     _unnamed_run_count: int = 0
 
-    def attempt_sent(self, engine: Engine, fingerprint: str) -> UnansweredAttempt:
+    def attempt_sent(
+        self, engine: Engine, fingerprint: str, parts: tuple[str, ...] = ()
+    ) -> UnansweredAttempt:
         """Record that a request was sent to an engine."""
-        attempt = UnansweredAttempt(engine, fingerprint, self._clock.monotonic())
+        attempt = UnansweredAttempt(engine, fingerprint, parts, self._clock.monotonic())
         self._attempts_by_engine.setdefault(engine.id, []).append(attempt)
         return attempt
 
@@ -176,6 +185,19 @@
         ]
         return self._record_crash(previous, attempts)
 
+    def record_sound_parts(self) -> None:
+        """Record the parts of the requests in flight whose start crashed no engine."""
+        if self._part_suspects.is_empty:
+            return
+        now = self._clock.monotonic()
+        self._part_suspects.record_sound(
+            part
+            for attempts in self._attempts_by_engine.values()
+            for attempt in attempts
+            if attempt.ended_at is None and attempt.was_running(now)
+            for part in attempt.parts
+        )
+
     def expire(self) -> None:
         """Remove attempts that ended too long ago to belong to a crash."""
         for engine_id in list(self._attempts_by_engine):
@@ -231,8 +253,25 @@
             for attempt in attempts
         ]
         self._suspects.merge(crashes, [])
+        self._record_part_crash(crashes[0], attempts)
         return crashes
 
+    def _record_part_crash(
+        self, crash: Crash, attempts: list[UnansweredAttempt]
+    ) -> None:
+        """Record the parts of those of ``attempts`` that were just starting.
+
+        A part of one that had been running didn't crash the engine.
+        """
+        now = self._clock.monotonic()
+        starting = [a.parts for a in attempts if not a.was_running(now)]
+        running = [a.parts for a in attempts if a.was_running(now)]
+        self._part_suspects.engine_crashed(
+            crash.engine, crash.engine_run, crash.at, chain.from_iterable(starting)
+        )
+        self._part_suspects.record_sound(chain.from_iterable(running))
+        self.record_sound_parts()
+
     def _run_name(self, engine: Engine) -> str:
         """Return a name for the run that has ended, the same at all VMs if possible.
 
--- a/dotterelpitch/routing/crash_history.py
+++ b/dotterelpitch/routing/crash_history.py
@@ -60,12 +60,19 @@
     """The crashes of one suspect, and when it last completed, in Unix seconds."""
 
     crash_by_run: dict[RunKey, Crash] = field(factory=dict)
-    cleared_at: float = 0.0
+    cleared_at: float = float("-inf")
 
     def crashes(self, oldest: float) -> list[Crash]:
         """Return the crashes after ``oldest`` and the last clearance."""
-        start = max(oldest, self.cleared_at)
-        return [crash for crash in self.crash_by_run.values() if crash.at > start]
+        return [
+            crash
+            for run_key, crash in self.crash_by_run.items()
+            if self.counts(run_key, oldest)
+        ]
+
+    def counts(self, run_key: RunKey, oldest: float) -> bool:
+        """Return whether a crash was after ``oldest`` and the last clearance."""
+        return self.crash_by_run[run_key].at > max(oldest, self.cleared_at)
 
 
 class CrashHistory:
@@ -101,15 +108,21 @@
         record = self._record_by_suspect.get(suspect)
         return self._crashes(record) if record else []
 
+    def suspects_in(self, run_key: RunKey) -> set[str]:
+        """Return the suspects in flight in a crash against which it counts now."""
+        oldest = self._clock.wall() - SUSPICION_SECONDS
+        return {
+            suspect
+            for suspect in self._suspects_by_run.get(run_key, ())
+            if self._record_by_suspect[suspect].counts(run_key, oldest)
+        }
+
     def merge(self, crashes: Iterable[Crash], cleared: Iterable[Clearance]) -> None:
         """Add the crashes and clearances that a peer has sent."""
         for crash in crashes:
             self._merge_crash(crash)
         for clearance in cleared:
-            record = self._get_or_create(clearance.suspect)
-            if clearance.at > record.cleared_at + CLEARANCE_TOLERANCE_SECONDS:
-                self._add_update(clearance)
-            record.cleared_at = max(record.cleared_at, clearance.at)
+            self._merge_clearance(clearance)
         self._evict_oldest()
 
     def updates_after(self, count: int) -> tuple[int, list[Crash], list[Clearance]]:
@@ -158,6 +171,12 @@
             record.crash_by_run[crash.run_key] = crash
         self._suspects_by_run.setdefault(crash.run_key, set()).add(crash.suspect)
 
+    def _merge_clearance(self, clearance: Clearance) -> None:
+        record = self._get_or_create(clearance.suspect)
+        if clearance.at > record.cleared_at + CLEARANCE_TOLERANCE_SECONDS:
+            self._add_update(clearance)
+        record.cleared_at = max(record.cleared_at, clearance.at)
+
     def _add_update(self, update: Crash | Clearance) -> None:
         self._recent_updates.append(update)
         self._update_count += 1
@@ -188,7 +207,11 @@
     def _evict(self, suspect: str) -> None:
         record = self._record_by_suspect.pop(suspect)
         for run_key in record.crash_by_run:
-            suspects = self._suspects_by_run[run_key]
-            suspects.discard(suspect)
-            if not suspects:
-                del self._suspects_by_run[run_key]
+            self._forget(suspect, run_key)
+
+    def _forget(self, suspect: str, run_key: RunKey) -> None:
+        """Forget that a suspect was in flight in a crash."""
+        suspects = self._suspects_by_run[run_key]
+        suspects.discard(suspect)
+        if not suspects:
+            del self._suspects_by_run[run_key]
--- a/dotterelpitch/routing/crash_suspects.py
+++ b/dotterelpitch/routing/crash_suspects.py
@@ -13,11 +13,11 @@
 crash bans nothing before the peers have had time to report what they had in flight.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 from dotterelpitch.clock import Clock
-from dotterelpitch.routing.crash_history import Clearance, Crash, CrashHistory
+from dotterelpitch.routing.crash_history import Clearance, Crash, CrashHistory, RunKey
 
 MAX_CRASHES = 2
 # Reports of one crash differ by less than this in time. A request that was lost
@@ -65,13 +65,19 @@
         super().__init__(clock, max_crashes)
         self._report_delay_s = report_delay_s
 
-    def verdict(self, fingerprint: str) -> CrashVerdict:
-        """Return how a request with this content may run now."""
+    def verdict(
+        self, fingerprint: str, explains: Callable[[RunKey], bool] = lambda _: False
+    ) -> CrashVerdict:
+        """Return how a request with this content may run now.
+
+        ``explains`` returns whether something other than a content is the likelier
+        cause of a crash.
+        """
         crashes = self.crashes_of(fingerprint)
         latest = self._clock.wall() - self._report_delay_s
         reported = [crash for crash in crashes if crash.at <= latest]
         if len(reported) >= self._max_crashes and self._is_cause_of_any(
-            reported, len(crashes)
+            [crash for crash in reported if not explains(crash.run_key)], len(crashes)
         ):
             return CrashVerdict.BANNED
         return CrashVerdict.ALONE if crashes else CrashVerdict.FREE
--- /dev/null
+++ b/dotterelpitch/routing/part_suspects.py
@@ -0,0 +1,240 @@
+"""Finds the prompt parts that crash engines, and bans the requests that hold one.
+
+A part may crash each engine that begins to respond to it, whatever else the request
+holds, so that no two of the requests at fault need to be alike. When an engine crashes,
+each part of a request that was just starting there becomes a suspect. The last part
+belongs to the request alone and is judged with its content (``crash_suspects``).
+
+A part is *sound* when a request with it completes, or has been responded to for a
+while; its crashes before that count no more. A part is a *candidate* once enough
+crashes count against it, and no single content was in flight in all of them. A request
+is banned if it holds a candidate with enough crashes that nothing outside the request
+explains better or equally well. So two parts that have only ever crashed together ban
+a request with both, while one with either is let through, which tells them apart.
+
+A ban ends when the part turns out sound, when its crashes are too old, or by a trial:
+after some time one request is let through. If it crashes an engine, the next trial
+is later.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Sequence
+
+from attrs import frozen
+
+from dotterelpitch.clock import Clock
+from dotterelpitch.routing.crash_history import (
+    Clearance,
+    Crash,
+    CrashHistory,
+    RunKey,
+)
+from dotterelpitch.routing.crash_suspects import CrashSuspects
+
+# Crashes that must count against a part; more if it was sound a short time before,
+# since such a part may have been only beside a failure of several engines.
+MIN_CRASHES = 3
+MIN_CRASHES_IF_SOUND = 5
+RECENTLY_SOUND_SECONDS = 60.0
+# Engines that crash together, as in a loss of power, count as one crash.
+SAME_MOMENT_SECONDS = 0.05
+# A trial follows the last crash by this time, and by no less than a multiple of the
+# time over which the crashes are spread, so that trials become ever rarer. A part that
+# was sound is more likely to be so again.
+FIRST_TRIAL_SECONDS = 60.0
+FIRST_TRIAL_SECONDS_IF_SOUND = 2.0
+TRIAL_SPREAD_FACTOR = 2.0
+# Bounds the memory for the times at which parts were sound.
+MAX_SOUND_PARTS = 50_000
+# A peer that knows a part to have been sound at some time learns of a later time only
+# if it differs by this, unless it clears a crash.
+SOUND_TOLERANCE_SECONDS = 20.0
+
+
+@frozen(order=True)
+class _Likelihood:
+    """How likely a candidate is the cause of a crash; later fields break ties."""
+
+    wasnt_sound: bool
+    crash_count: int
+
+
+class PartSuspects(CrashHistory):
+    """Crash history of prompt parts, and of when they were sound.
+
+    ``contents`` is the crash history of whole requests. ``report_delay_s`` is how long
+    peers may take to report what they had in flight in a crash; it bans nothing before.
+
+    >>> from dotterelpitch.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> suspects = PartSuspects(clock, CrashSuspects(clock))
+    >>> for n in range(MIN_CRASHES):
+    ...     clock.advance(1.0)
+    ...     suspects.engine_crashed(f"e{n}", "run-1", clock.wall(), ["shared", "bad"])
+    ...     suspects.record_sound(["shared"])
+    >>> suspects.banned_part(["shared", "bad", "own"]), suspects.banned_part(["shared"])
+    ('bad', None)
+    """
+
+    def __init__(
+        self, clock: Clock, contents: CrashSuspects, report_delay_s: float = 0.0
+    ) -> None:
+        super().__init__(clock, MIN_CRASHES)
+        self._contents = contents
+        self._report_delay_s = report_delay_s
+        self._sound_at_by_part: OrderedDict[str, float] = OrderedDict()
+        self._last_trial_at_by_part: dict[str, float] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no part is suspected."""
+        return not self._suspects_by_run
+
+    def engine_crashed(
+        self, engine: str, engine_run: str, at: float, parts: Iterable[str]
+    ) -> None:
+        """Record a crash with the parts of the requests that were just starting."""
+        self.merge([Crash(p, engine, engine_run, at) for p in sorted(set(parts))], [])
+
+    def record_sound(self, parts: Iterable[str]) -> None:
+        """Record that an engine has responded to requests with these parts."""
+        now = self._clock.wall()
+        for part in parts:
+            self._sound_at_by_part[part] = now
+            self._sound_at_by_part.move_to_end(part)
+            if self.crashes_of(part):
+                self.merge([], [Clearance(part, now)])
+        while len(self._sound_at_by_part) > MAX_SOUND_PARTS:
+            self._sound_at_by_part.popitem(last=False)
+
+    def merge(self, crashes: Iterable[Crash], cleared: Iterable[Clearance]) -> None:
+        """Add the crashes and clearances that a peer has sent.
+
+        If this VM knows of a later time at which a part was sound, its peers learn it.
+        """
+        crashes = list(crashes)
+        super().merge(crashes, cleared)
+        sound = (self._newer_clearance(crash) for crash in crashes)
+        super().merge([], [clearance for clearance in sound if clearance])
+
+    def banned_part(self, parts: Sequence[str]) -> str | None:
+        """Return the part for which a request is banned, or None.
+
+        ``parts`` are those of its prompt but the last.
+        """
+        return next((part for part in parts if self._is_banned(part, parts)), None)
+
+    def explains(self, run_key: RunKey) -> bool:
+        """Return whether a part is a likelier cause of a crash than any content."""
+        return any(
+            not self._was_recently_sound(part) and self._may_be_cause(part)
+            for part in self.suspects_in(run_key)
+        )
+
+    def try_trial(self, part: str) -> bool:
+        """Return whether a request with a banned part may run, and record it."""
+        now = self._clock.wall()
+        if now < self._next_trial_at(part):
+            return False
+        self._last_trial_at_by_part[part] = now
+        return True
+
+    def _next_trial_at(self, part: str) -> float:
+        times = [crash.at for crash in self.crashes_of(part)]
+        if part in self._last_trial_at_by_part:
+            times.append(self._last_trial_at_by_part[part])
+        first_at, last_at = min(times), max(times)
+        sound = self._was_recently_sound(part)
+        shortest_s = FIRST_TRIAL_SECONDS_IF_SOUND if sound else FIRST_TRIAL_SECONDS
+        return last_at + max(shortest_s, TRIAL_SPREAD_FACTOR * (last_at - first_at))
+
+    def _merge_crash(self, crash: Crash) -> None:
+        """Add a crash, unless the part was sound after it."""
+        record = self._record_by_suspect.get(crash.suspect)
+        if record is None or crash.at > record.cleared_at:
+            super()._merge_crash(crash)
+
+    def _merge_clearance(self, clearance: Clearance) -> None:
+        """Add a clearance, and drop the crashes that it clears."""
+        record = self._get_or_create(clearance.suspect)
+        cleared = [
+            run_key
+            for run_key, crash in record.crash_by_run.items()
+            if crash.at <= clearance.at
+        ]
+        count = self._update_count
+        super()._merge_clearance(clearance)
+        if cleared and self._update_count == count:
+            self._add_update(clearance)
+        for run_key in cleared:
+            del record.crash_by_run[run_key]
+            self._forget(clearance.suspect, run_key)
+        if not record.crash_by_run:
+            self._last_trial_at_by_part.pop(clearance.suspect, None)
+
+    def _newer_clearance(self, crash: Crash) -> Clearance | None:
+        """Return the clearance that peers lack for the part of a crash, or None."""
+        record = self._record_by_suspect.get(crash.suspect)
+        sound_at = self._sound_at_by_part.get(crash.suspect, float("-inf"))
+        if record is None or sound_at <= record.cleared_at:
+            return None
+        clears = sound_at >= crash.at > record.cleared_at
+        if clears or sound_at > record.cleared_at + SOUND_TOLERANCE_SECONDS:
+            return Clearance(crash.suspect, sound_at)
+        return None
+
+    def _is_banned(self, part: str, parts: Collection[str]) -> bool:
+        likelihood = self._likelihood(part)
+        if likelihood is None:
+            return False
+        latest = self._clock.wall() - self._report_delay_s
+        unexplained = [
+            crash
+            for crash in self.crashes_of(part)
+            if crash.at <= latest and not self._is_explained(crash, likelihood, parts)
+        ]
+        return _count_moments(unexplained) >= self._min_crashes(part)
+
+    def _is_explained(
+        self, crash: Crash, likelihood: _Likelihood, parts: Collection[str]
+    ) -> bool:
+        """Return whether a part outside the request explains a crash equally well."""
+        others = self.suspects_in(crash.run_key) - set(parts)
+        likelihoods = (self._likelihood(other) for other in others)
+        return any(other is not None and other >= likelihood for other in likelihoods)
+
+    def _likelihood(self, part: str) -> _Likelihood | None:
+        """Return how likely a part crashes engines, or None unless a candidate."""
+        if not self._may_be_cause(part):
+            return None
+        crash_count = _count_moments(self.crashes_of(part))
+        if crash_count < self._min_crashes(part):
+            return None
+        return _Likelihood(not self._was_recently_sound(part), crash_count)
+
+    def _may_be_cause(self, part: str) -> bool:
+        """Return whether a part has enough crashes that no single content explains."""
+        crashes = self.crashes_of(part)
+        if len(crashes) < MIN_CRASHES:
+            return False
+        contents = (self._contents.suspects_in(crash.run_key) for crash in crashes)
+        return not set.intersection(*contents)
+
+    def _min_crashes(self, part: str) -> int:
+        sound = self._was_recently_sound(part)
+        return MIN_CRASHES_IF_SOUND if sound else MIN_CRASHES
+
+    def _was_recently_sound(self, part: str) -> bool:
+        """Return whether a suspected part was sound shortly before its crashes."""
+        record = self._record_by_suspect[part]
+        first_at = min(crash.at for crash in self._crashes(record))
+        return first_at - record.cleared_at < RECENTLY_SOUND_SECONDS
+
+
+def _count_moments(crashes: Iterable[Crash]) -> int:
+    """Return the number of crashes, counting those of one moment once."""
+    count, moment_at = 0, float("-inf")
+    for at in sorted(crash.at for crash in crashes):
+        if at - moment_at > SAME_MOMENT_SECONDS:
+            count, moment_at = count + 1, at
+    return count
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -88,6 +88,8 @@
     CRASH_DISMISSED = (417, logging.INFO, "possible signs of a crash were dismissed")
     CRASHES_REPORTED = (418, logging.INFO, "a peer has reported engine crashes")
     ENGINE_CHECKED = (419, logging.INFO, "an engine was asked for a sign of life")
+    PART_BANNED = (420, logging.ERROR, "a request was rejected for a prompt part")
+    PART_TRIED = (421, logging.WARNING, "a request with a banned prompt part runs")
     LIMIT_MOVED = (416, logging.INFO, "the limit on requests in flight has changed")
     REQUEST_ENDED = (501, logging.INFO, "a request has its final outcome")
     REQUEST_REFUSED = (503, logging.WARNING, "a request was rejected before it ran")
--- a/tests/harness/crash_drill/drill.py
+++ b/tests/harness/crash_drill/drill.py
@@ -30,6 +30,7 @@
 MAX_LATE_ARRIVALS = 3
 # The promise covers the requests of gateways that have run for this long.
 CONTACT_SECONDS = 3.0
+BAN_EVENTS = {Event.REQUEST_BANNED.number, Event.PART_BANNED.number}
 ROUTES = {
     "safe": {"kind": "safe", "max_attempts": 2},
     "unsafe": {"kind": "unsafe", "max_attempts": 1},
@@ -72,17 +73,23 @@
 class CallRecord:
     """A call of a caller and the status of its attempts, 0 without a response.
 
+    ``fault`` names what crashes engines in it, and is empty for a sound one.
     ``status`` is that of the last attempt if it is complete, ``first_status`` that of
     the first one as soon as its head has come.
     """
 
     request_id: str
     vm: str
-    crashes: bool
+    fault: str
     at: float
     status: int = 0
     first_status: int = 0
 
+    @property
+    def crashes(self) -> bool:
+        """Whether the call crashes engines."""
+        return bool(self.fault)
+
 
 @attrs.define
 class DrillResult:
@@ -108,7 +115,10 @@
     @property
     def late_arrivals(self) -> list[Arrival]:
         """Those of these arrivals later than they must have been stopped."""
-        crashes = self.crash_arrivals
+        return self.late_among(self.crash_arrivals)
+
+    def late_among(self, crashes: list[Arrival]) -> list[Arrival]:
+        """Return the late ones of the arrivals with one fault, in order of time."""
         if len(crashes) < self.crashes_before_stop:
             return []
         until = crashes[self.crashes_before_stop - 1].at + STOP_SECONDS
@@ -130,7 +140,7 @@
             event["request"]
             for log in self.logs.values()
             for event in map(json.loads, log.splitlines())
-            if event["event"] == Event.REQUEST_BANNED.number
+            if event["event"] in BAN_EVENTS
         ]
         return [request_id for request_id in banned if request_id not in crashing]
 
@@ -279,7 +289,9 @@
         await pause(1.0)
         while time.monotonic() < began + settings.seconds:
             for gateway in self.random.sample(self.gateways, settings.copies):
-                self.send(gateway, f"/{settings.route}/crash", CRASH_BODY, crashes=True)
+                self.send(
+                    gateway, f"/{settings.route}/crash", CRASH_BODY, fault="content"
+                )
             await pause(settings.crash_interval_s)
 
     async def send_others(self, began: float) -> None:
@@ -299,16 +311,16 @@
         path: str,
         body: bytes,
         headers: dict[str, str] | None = None,
-        crashes: bool = False,
+        fault: str = "",
     ) -> None:
         """Send a request, with further ``headers``, without waiting for its response.
 
-        ``crashes`` is whether it crashes engines.
+        ``fault`` names what crashes engines in it, if anything.
         """
         record = CallRecord(
             f"r{len(self.calls):06}",
             gateway.process.name,
-            crashes,
+            fault,
             time.monotonic(),
         )
         self.calls.append(record)
--- a/tests/harness/crash_drill/part_drill.py
+++ b/tests/harness/crash_drill/part_drill.py
@@ -6,7 +6,8 @@
 import attrs
 
 from tests.harness.crash_drill.drill import CrashDrill, DrillResult, DrillSettings
-from tests.harness.crash_drill.engine import CrashableEngine, response_head
+from tests.harness.crash_drill.engine import Arrival, CrashableEngine, response_head
+from tests.harness.gateway_fleet import GatewayProcess
 from tests.harness.waiting import pause
 
 CRASH_PARTS = ("bad0", "bad1")
@@ -60,10 +61,22 @@
     """What engines and callers recorded in such a drill."""
 
     @property
-    def _fifth_crash_at(self) -> float:
-        crashes = self.crash_arrivals
-        stop = min(MAX_PART_CRASHES_BEFORE_STOP, len(crashes))
-        return crashes[stop - 1].at if crashes else float("inf")
+    def late_arrivals(self) -> list[Arrival]:
+        """The late arrivals of the requests with the part that has most of them."""
+        late = [self.late_among(self._arrivals_of(part)) for part in CRASH_PARTS]
+        return max(late, key=len)
+
+    def _arrivals_of(self, part: str) -> list[Arrival]:
+        ids = {call.request_id for call in self.calls if call.fault == part}
+        return [a for a in self.crash_arrivals if a.request_id in ids]
+
+    def _recovery_at(self, part: str) -> float:
+        """Return when sound requests are owed their usual service in spite of a part.
+
+        It counts from the fifth crash, or from the last if there are fewer.
+        """
+        crashes = self._arrivals_of(part)[:MAX_PART_CRASHES_BEFORE_STOP]
+        return crashes[-1].at + RECOVERY_SECONDS if crashes else 0.0
 
     def begun_share(self, recovered: bool) -> float:
         """Return the share of sound requests that began at the first attempt.
@@ -72,7 +85,7 @@
         later than ``RECOVERY_SECONDS`` after the fifth.
         """
         first_at = self.crash_arrivals[0].at if self.crash_arrivals else float("inf")
-        recovered_at = self._fifth_crash_at + RECOVERY_SECONDS
+        recovered_at = max(self._recovery_at(part) for part in CRASH_PARTS)
         counted = [
             call
             for call in self.calls
@@ -136,7 +149,7 @@
         """Write events while the run goes on; return whether it has."""
         run = self.run_number
         for number in range(first, last + 1):
-            if self.has_ended(run):
+            if self.has_ended(run) or writer.is_closing():
                 return False
             event = f"id: {number}\ndata: {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
@@ -172,7 +185,7 @@
             fault = CRASH_PARTS[len(self.calls) % settings.faults]
             for gateway in self.random.sample(self.gateways, settings.copies):
                 parts = [self._part(name, fault) for name in settings.prompt]
-                self._send_prompt(gateway, parts, crashes=True)
+                self._send_prompt(gateway, parts, fault)
             await pause(settings.crash_interval_s)
 
     async def send_others(self, began: float) -> None:
@@ -189,9 +202,11 @@
             return f"sibling{self.random.randrange(self.settings.siblings)}"
         return fault if name == "bad" else name
 
-    def _send_prompt(self, gateway, parts: list[str], crashes: bool = False) -> None:
+    def _send_prompt(
+        self, gateway: GatewayProcess, parts: list[str], fault: str = ""
+    ) -> None:
         number = len(self.calls)
         prompt = ",".join(f"{part}:50" for part in [*parts, f"last{number}"])
         headers = {"Prompt-Prefix": prompt}
         body = f"prompt {number}".encode()
-        self.send(gateway, f"/chat/{number}", body, headers, crashes)
+        self.send(gateway, f"/chat/{number}", body, headers, fault)
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -11,6 +11,7 @@
 )
 from dotterelpitch.routing.crash_suspects import CrashSuspects, CrashVerdict
 from dotterelpitch.routing.engines import Engine
+from dotterelpitch.routing.part_suspects import PartSuspects
 
 FREE, ALONE, BANNED = CrashVerdict.FREE, CrashVerdict.ALONE, CrashVerdict.BANNED
 
@@ -27,7 +28,7 @@
 
 @pytest.fixture
 def detector(clock, suspects):
-    return CrashDetector("vm1", clock, suspects)
+    return CrashDetector("vm1", clock, suspects, PartSuspects(clock, suspects))
 
 
 def engine(engine_id, started_ms=1, domain="a"):
@@ -52,7 +53,7 @@
 # Guards against: a chain of crashes in one failure domain counted as one outage.
 def test_each_crash_of_a_chain_in_one_domain_counts(clock):
     suspects = CrashSuspects(clock, max_crashes=3)
-    detector = CrashDetector("vm1", clock, suspects)
+    detector = CrashDetector("vm1", clock, suspects, PartSuspects(clock, suspects))
     for engine_id in ("e1", "e2", "e3"):
         assert suspects.verdict("bad") is not BANNED
         lose(detector, engine_id, "bad")
@@ -177,7 +178,7 @@
 @pytest.mark.parametrize("output_s", [None, 0.1, START_SECONDS + 0.5])
 def test_request_beside_every_crash_of_another_is_served(clock, output_s):
     suspects = CrashSuspects(clock, max_crashes=3)
-    detector = CrashDetector("vm1", clock, suspects)
+    detector = CrashDetector("vm1", clock, suspects, PartSuspects(clock, suspects))
     lose(detector, "e0", "bad")
     detector.engine_ended(engine("e0"))
     for engine_id in ("e1", "e2", "e3"):
@@ -194,7 +195,7 @@
 
 def test_running_request_beside_as_many_crashes_is_served(clock):
     suspects = CrashSuspects(clock, max_crashes=3)
-    detector = CrashDetector("vm1", clock, suspects)
+    detector = CrashDetector("vm1", clock, suspects, PartSuspects(clock, suspects))
     for engine_id in ("e1", "e2", "e3"):
         beside = detector.attempt_sent(engine(engine_id), "beside")
         detector.output_started(beside)
--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -7,7 +7,12 @@
 from dotterelpitch.routing.crash_history import MAX_RECENT_UPDATES
 from dotterelpitch.routing.crash_suspects import CrashVerdict
 from dotterelpitch.routing.engines import Engine
-from tests.harness.crash_drill.drill import MAX_LATE_ARRIVALS, STOP_SECONDS
+from tests.harness.crash_drill.drill import (
+    MAX_CRASHES_BEFORE_STOP,
+    MAX_LATE_ARRIVALS,
+    STOP_SECONDS,
+)
+from tests.harness.crash_drill.part_drill import MAX_PART_CRASHES_BEFORE_STOP
 from tests.harness.simulated_gateways import PERIOD_SECONDS, make_fleet
 
 PLAY_SECONDS = 20.0
@@ -26,6 +31,8 @@
     from VMs that the promise covers.
     """
 
+    crashes_before_stop = MAX_CRASHES_BEFORE_STOP
+
     def __init__(self, fleet, copies, detection_s):
         self.fleet = fleet
         self.arrivals = []
@@ -53,9 +60,17 @@
         self.fleet.restart(address)
         self._restarted_at_by_address[address] = self.fleet.clock.monotonic()
 
+    def is_banned(self, gateway):
+        """Return whether a VM refuses the request."""
+        return gateway.suspects.verdict("bad") is CrashVerdict.BANNED
+
+    def attempt_sent(self, detector, engine):
+        """Record that the request was sent to an engine."""
+        return detector.attempt_sent(engine, "bad")
+
     def _send(self, address, now):
         gateway = self.fleet.gateway_by_address[address]
-        if gateway.suspects.verdict("bad") is CrashVerdict.BANNED:
+        if self.is_banned(gateway):
             return
         number = len(self.arrivals)
         engine = Engine(f"e{number}", "calls", "10.1.0.1:1", "a", started_ms=1)
@@ -64,23 +79,51 @@
         if now - restarted_at >= CONTACT_SECONDS:
             self.covered.append(now)
         detector = gateway.engine_tracker.crash_detector
-        detector.attempt_ended(detector.attempt_sent(engine, "bad"), is_broken=True)
+        detector.attempt_ended(self.attempt_sent(detector, engine), is_broken=True)
         self._detections.append((now + self._detection_s, address, engine))
 
     def late_arrivals(self):
         """Return the arrivals after the request must have been stopped."""
-        until = self.arrivals[2] + STOP_SECONDS
+        if len(self.arrivals) < self.crashes_before_stop:
+            return []
+        until = self.arrivals[self.crashes_before_stop - 1] + STOP_SECONDS
         return [at for at in self.covered if at > until]
 
 
+class PartCrashChain(CrashChain):
+    """Requests with a part that crashes an engine at each arrival, no two alike.
+
+    Another part of theirs is sound at one VM, whose requests with it complete.
+    """
+
+    crashes_before_stop = MAX_PART_CRASHES_BEFORE_STOP
+
+    def step(self):
+        """Complete a sound request at a random VM, then send the others."""
+        super().step()
+        gateway = self._random.choice(list(self.fleet.alive.values()))
+        gateway.engine_tracker.part_suspects.record_sound(["shared"])
+
+    def is_banned(self, gateway):
+        """Return whether a VM refuses the requests."""
+        suspects = gateway.engine_tracker.part_suspects
+        return suspects.banned_part(["shared", "bad"]) is not None
+
+    def attempt_sent(self, detector, engine):
+        """Record that a request was sent to an engine."""
+        content = f"content {len(self.arrivals)}"
+        return detector.attempt_sent(engine, content, ("shared", "bad"))
+
+
 # Guards against: the ban reaches a VM of a large fleet late, or not after its restart.
+@pytest.mark.parametrize("chain_type", [CrashChain, PartCrashChain])
 @pytest.mark.parametrize("vms", [4, 9, 60, 100])
 @pytest.mark.parametrize("copies", [1, 3])
 @pytest.mark.parametrize("detection_s", [REFUSED_SECONDS, SILENT_SECONDS])
-def test_crashing_request_is_stopped_at_every_vm(vms, copies, detection_s):
+def test_crashing_request_is_stopped_at_every_vm(chain_type, vms, copies, detection_s):
     fleet = make_fleet(vms)
     fleet.run(5.0)
-    chain = CrashChain(fleet, copies, detection_s)
+    chain = chain_type(fleet, copies, detection_s)
     restarts = iter(list(fleet.gateway_by_address) * 10)
     for number in range(int(PLAY_SECONDS / PERIOD_SECONDS)):
         if number % 8 == 7:
@@ -90,13 +133,31 @@
     assert len(chain.late_arrivals()) <= MAX_LATE_ARRIVALS
 
 
+# Guards against: a restart or a partition makes a VM ban the part that all share.
+@pytest.mark.parametrize("vms", [4, 60])
+def test_part_that_sound_requests_share_is_banned_at_no_vm(vms):
+    fleet = make_fleet(vms)
+    fleet.run(5.0)
+    chain = PartCrashChain(fleet, 1, REFUSED_SECONDS)
+    restarts = iter(list(fleet.gateway_by_address) * 10)
+    for number in range(int(PLAY_SECONDS / PERIOD_SECONDS)):
+        if number % 8 == 7:
+            chain.restart(next(restarts))
+        chain.step()
+        assert not any(
+            gateway.engine_tracker.part_suspects.banned_part(["shared", "sound"])
+            for gateway in fleet.alive.values()
+        )
+
+
 # Guards against: each half of a partitioned fleet counts only its own crashes for long.
+@pytest.mark.parametrize("chain_type", [CrashChain, PartCrashChain])
 @pytest.mark.parametrize("vms", [6, 60])
-def test_crashing_request_is_stopped_on_both_sides_of_a_partition(vms):
+def test_crashing_request_is_stopped_on_both_sides_of_a_partition(chain_type, vms):
     fleet = make_fleet(vms)
     fleet.run(5.0)
     fleet.partitioned |= set(list(fleet.gateway_by_address)[::2])
-    chain = CrashChain(fleet, 1, REFUSED_SECONDS)
+    chain = chain_type(fleet, 1, REFUSED_SECONDS)
     for _ in range(int(PLAY_SECONDS / PERIOD_SECONDS)):
         chain.step()
     fleet.partitioned.clear()
