Don't count losses at an engine that may still be down against prompt parts

Cause: a VM can't tell the runs of an engine without a start time, so each loss there after 1.5 s was a new crash, with whatever was sent there and without the part at fault; and two VMs named one crash as two.

Change: an engine that nothing has been heard from since its last crash, by any VM's report, gives no evidence on parts unless its start time shows another run; and what explains a crash is looked for by engine and time in place of the name of the run.

--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -10,12 +10,13 @@
 a second request nor a peer for it.
 """
 
+import math
 from itertools import chain
 
 from attrs import define, field, frozen
 
 from dotterelpitch.clock import Clock
-from dotterelpitch.routing.crash_history import Crash
+from dotterelpitch.routing.crash_history import SAME_CRASH_SECONDS, Crash
 from dotterelpitch.routing.crash_suspects import CrashSuspects
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.part_suspects import PartSuspects
@@ -27,8 +28,6 @@
 # Bytes of other responses, sent before a crash, may be read this long after the
 # connection of a request was found broken.
 READ_ORDER_SECONDS = 0.05
-# Later signs of an end of an engine without a known start time are of another run.
-SAME_CRASH_SECONDS = 1.5
 # An engine that has been sending a response for this long has survived its start.
 START_SECONDS = 1.0
 
@@ -252,10 +251,23 @@
             )
             for attempt in attempts
         ]
+        if not self._may_be_down_since_last_crash(engine):
+            self._record_part_crash(crashes[0], attempts)
         self._suspects.merge(crashes, [])
-        self._record_part_crash(crashes[0], attempts)
         return crashes
 
+    def _may_be_down_since_last_crash(self, engine: Engine) -> bool:
+        """Return whether nothing shows that an engine has run since its last crash.
+
+        Then every request sent there is lost, whatever it holds.
+        """
+        crash_age_s = self._clock.wall() - self._suspects.last_crash_at(engine.id)
+        if engine.started_ms or math.isinf(crash_age_s):
+            return False
+        if self.has_outlived(engine.id, self._clock.monotonic() - crash_age_s):
+            return False
+        return crash_age_s >= SAME_CRASH_SECONDS
+
     def _record_part_crash(
         self, crash: Crash, attempts: list[UnansweredAttempt]
     ) -> None:
--- a/dotterelpitch/routing/crash_history.py
+++ b/dotterelpitch/routing/crash_history.py
@@ -21,6 +21,9 @@
 # Copies of one clearance that arrive over two paths differ by less than this, since
 # ages are truncated to milliseconds on the wire.
 CLEARANCE_TOLERANCE_SECONDS = 1.0
+# Reports of one crash by several VMs differ by less than this, and a later sign of an
+# end of an engine without a known start time is of another run.
+SAME_CRASH_SECONDS = 1.5
 
 RunKey = tuple[str, str]
 
@@ -94,6 +97,7 @@
         self._max_crashes = max_crashes
         self._record_by_suspect: OrderedDict[str, SuspectRecord] = OrderedDict()
         self._suspects_by_run: dict[RunKey, set[str]] = {}
+        self._runs_by_engine: dict[str, set[RunKey]] = {}
         self._recent_updates: deque[Crash | Clearance] = deque(
             maxlen=MAX_RECENT_UPDATES
         )
@@ -108,15 +112,35 @@
         record = self._record_by_suspect.get(suspect)
         return self._crashes(record) if record else []
 
-    def suspects_in(self, run_key: RunKey) -> set[str]:
-        """Return the suspects in flight in a crash against which it counts now."""
-        oldest = self._clock.wall() - SUSPICION_SECONDS
+    def suspects_near(self, engine: str, at: float) -> set[str]:
+        """Return the suspects of an engine's crash at some time, if it counts.
+
+        VMs may have reported one crash as several runs, if they don't know when the
+        engine started.
+        """
+        oldest = max(at - SAME_CRASH_SECONDS, self._clock.wall() - SUSPICION_SECONDS)
         return {
             suspect
-            for suspect in self._suspects_by_run.get(run_key, ())
+            for run_key in self._runs_by_engine.get(engine, ())
+            for suspect in self._suspects_by_run[run_key]
             if self._record_by_suspect[suspect].counts(run_key, oldest)
+            and self._crash_at(suspect, run_key) < at + SAME_CRASH_SECONDS
         }
 
+    def last_crash_at(self, engine: str) -> float:
+        """Return when an engine last crashed, or minus infinity."""
+        return max(
+            (
+                self._crash_at(suspect, run_key)
+                for run_key in self._runs_by_engine.get(engine, ())
+                for suspect in self._suspects_by_run[run_key]
+            ),
+            default=float("-inf"),
+        )
+
+    def _crash_at(self, suspect: str, run_key: RunKey) -> float:
+        return self._record_by_suspect[suspect].crash_by_run[run_key].at
+
     def merge(self, crashes: Iterable[Crash], cleared: Iterable[Clearance]) -> None:
         """Add the crashes and clearances that a peer has sent."""
         for crash in crashes:
@@ -170,6 +194,7 @@
         if known is None or crash.at < known.at:
             record.crash_by_run[crash.run_key] = crash
         self._suspects_by_run.setdefault(crash.run_key, set()).add(crash.suspect)
+        self._runs_by_engine.setdefault(crash.engine, set()).add(crash.run_key)
 
     def _merge_clearance(self, clearance: Clearance) -> None:
         record = self._get_or_create(clearance.suspect)
@@ -213,5 +238,10 @@
         """Forget that a suspect was in flight in a crash."""
         suspects = self._suspects_by_run[run_key]
         suspects.discard(suspect)
-        if not suspects:
-            del self._suspects_by_run[run_key]
+        if suspects:
+            return
+        del self._suspects_by_run[run_key]
+        engine, _ = run_key
+        self._runs_by_engine[engine].discard(run_key)
+        if not self._runs_by_engine[engine]:
+            del self._runs_by_engine[engine]
--- a/dotterelpitch/routing/crash_suspects.py
+++ b/dotterelpitch/routing/crash_suspects.py
@@ -17,7 +17,7 @@
 from enum import Enum
 
 from dotterelpitch.clock import Clock
-from dotterelpitch.routing.crash_history import Clearance, Crash, CrashHistory, RunKey
+from dotterelpitch.routing.crash_history import Clearance, Crash, CrashHistory
 
 MAX_CRASHES = 2
 # Reports of one crash differ by less than this in time. A request that was lost
@@ -66,7 +66,7 @@
         self._report_delay_s = report_delay_s
 
     def verdict(
-        self, fingerprint: str, explains: Callable[[RunKey], bool] = lambda _: False
+        self, fingerprint: str, explains: Callable[[Crash], bool] = lambda _: False
     ) -> CrashVerdict:
         """Return how a request with this content may run now.
 
@@ -77,7 +77,7 @@
         latest = self._clock.wall() - self._report_delay_s
         reported = [crash for crash in crashes if crash.at <= latest]
         if len(reported) >= self._max_crashes and self._is_cause_of_any(
-            [crash for crash in reported if not explains(crash.run_key)], len(crashes)
+            [crash for crash in reported if not explains(crash)], len(crashes)
         ):
             return CrashVerdict.BANNED
         return CrashVerdict.ALONE if crashes else CrashVerdict.FREE
--- a/dotterelpitch/routing/part_suspects.py
+++ b/dotterelpitch/routing/part_suspects.py
@@ -24,10 +24,10 @@
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.routing.crash_history import (
+    SAME_CRASH_SECONDS,
     Clearance,
     Crash,
     CrashHistory,
-    RunKey,
 )
 from dotterelpitch.routing.crash_suspects import CrashSuspects
 
@@ -124,11 +124,11 @@
         """
         return next((part for part in parts if self._is_banned(part, parts)), None)
 
-    def explains(self, run_key: RunKey) -> bool:
+    def explains(self, crash: Crash) -> bool:
         """Return whether a part is a likelier cause of a crash than any content."""
         return any(
             not self._was_recently_sound(part) and self._may_be_cause(part)
-            for part in self.suspects_in(run_key)
+            for part in self.suspects_near(crash.engine, crash.at)
         )
 
     def try_trial(self, part: str) -> bool:
@@ -199,7 +199,7 @@
         self, crash: Crash, likelihood: _Likelihood, parts: Collection[str]
     ) -> bool:
         """Return whether a part outside the request explains a crash equally well."""
-        others = self.suspects_in(crash.run_key) - set(parts)
+        others = self.suspects_near(crash.engine, crash.at) - set(parts)
         likelihoods = (self._likelihood(other) for other in others)
         return any(other is not None and other >= likelihood for other in likelihoods)
 
@@ -217,7 +217,7 @@
         crashes = self.crashes_of(part)
         if len(crashes) < MIN_CRASHES:
             return False
-        contents = (self._contents.suspects_in(crash.run_key) for crash in crashes)
+        contents = (self._contents.suspects_near(c.engine, c.at) for c in crashes)
         return not set.intersection(*contents)
 
     def _min_crashes(self, part: str) -> int:
@@ -232,9 +232,17 @@
 
 
 def _count_moments(crashes: Iterable[Crash]) -> int:
-    """Return the number of crashes, counting those of one moment once."""
+    """Return the number of crashes, counting those of one moment once.
+
+    Reports of one engine that differ little in time are of one crash.
+    """
     count, moment_at = 0, float("-inf")
-    for at in sorted(crash.at for crash in crashes):
-        if at - moment_at > SAME_MOMENT_SECONDS:
-            count, moment_at = count + 1, at
+    crashed_at_by_engine = {}
+    for crash in sorted(crashes, key=lambda crash: crash.at):
+        crashed_at = crashed_at_by_engine.get(crash.engine, float("-inf"))
+        is_known = crash.at - crashed_at < SAME_CRASH_SECONDS
+        if is_known or crash.at - moment_at <= SAME_MOMENT_SECONDS:
+            continue
+        crashed_at_by_engine[crash.engine] = moment_at = crash.at
+        count += 1
     return count
--- a/tests/harness/crash_drill/drill.py
+++ b/tests/harness/crash_drill/drill.py
@@ -144,6 +144,12 @@
         ]
         return [request_id for request_id in banned if request_id not in crashing]
 
+    def is_kept(self) -> bool:
+        """Return whether the promise was kept."""
+        return (
+            len(self.late_arrivals) <= MAX_LATE_ARRIVALS and not self.wrongly_banned_ids
+        )
+
     def summary(self) -> str:
         """Return the counts on one line."""
         others = [call for call in self.calls if not call.crashes]
--- a/tests/harness/crash_drill/engine.py
+++ b/tests/harness/crash_drill/engine.py
@@ -141,8 +141,13 @@
             reset_connection(writer)
             return
         self._writers.add(writer)
+        endings = (
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        )
         try:
-            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            with contextlib.suppress(*endings):
                 while await self._serve_request(reader, writer):
                     pass
         finally:
--- a/tests/harness/crash_drill/part_drill.py
+++ b/tests/harness/crash_drill/part_drill.py
@@ -20,6 +20,8 @@
 MAX_PART_CRASHES_BEFORE_STOP = 5
 # From this long after that crash on, sound requests are owed their usual service.
 RECOVERY_SECONDS = 6.0
+# They must begin at the first attempt at least this many times as often as before.
+MIN_BEGUN_FACTOR = 0.5
 ROUTES = {
     "chat": {
         "kind": "streaming",
@@ -95,6 +97,12 @@
         begun = sum(call.first_status == 200 for call in counted)
         return begun / len(counted) if counted else 1.0
 
+    def is_kept(self) -> bool:
+        """Return whether the part was stopped and sound requests were served."""
+        usual = self.begun_share(recovered=False)
+        owed = MIN_BEGUN_FACTOR * usual
+        return super().is_kept() and self.begun_share(recovered=True) >= owed
+
     def summary(self) -> str:
         """Return the counts on one line."""
         return (
--- a/tests/test_crash_drill.py
+++ b/tests/test_crash_drill.py
@@ -2,11 +2,7 @@
 
 import pytest
 
-from tests.harness.crash_drill.drill import (
-    MAX_LATE_ARRIVALS,
-    CrashDrill,
-    DrillSettings,
-)
+from tests.harness.crash_drill.drill import CrashDrill, DrillSettings
 from tests.harness.crash_drill.engine import Death, Return
 
 DRILLS = {
@@ -29,5 +25,5 @@
 @pytest.mark.parametrize("settings", DRILLS.values(), ids=DRILLS.keys())
 async def test_request_that_crashes_engines_stops_reaching_them(tmp_path, settings):
     result = await CrashDrill(tmp_path, settings).run()
-    assert len(result.late_arrivals) <= MAX_LATE_ARRIVALS, result.summary()
     assert result.wrongly_banned_ids == []
+    assert result.is_kept(), result.summary()
--- a/tests/test_part_crash_drill.py
+++ b/tests/test_part_crash_drill.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from tests.harness.crash_drill.drill import MAX_LATE_ARRIVALS
 from tests.harness.crash_drill.engine import Death, Return
 from tests.harness.crash_drill.part_drill import (
     COMMON_PART,
@@ -10,8 +9,6 @@
     PartDrillSettings,
 )
 
-# Sound requests must begin at the first attempt at least so often as before.
-MIN_BEGUN_FACTOR = 0.5
 DRILLS = {
     "second part": PartDrillSettings(),
     "first part": PartDrillSettings(prompt=("bad", COMMON_PART)),
@@ -23,6 +20,19 @@
         prompt=(COMMON_PART, "sibling", "bad"),
     ),
     "silent engines": PartDrillSettings(death=Death.SILENT),
+    "engines without start times that reset new connections": PartDrillSettings(
+        gateways=6,
+        engines=9,
+        domains="ab",
+        death=Death.RESETTING,
+        returns=Return.SAME_ID_UNDATED,
+        down_s=5.0,
+        copies=3,
+        crash_interval_s=0.5,
+        calls_per_s=40,
+        siblings=1,
+        prompt=("bad",),
+    ),
     "two such parts": PartDrillSettings(faults=2, engines=9),
 }
 
@@ -31,8 +41,5 @@
 @pytest.mark.parametrize("settings", DRILLS.values(), ids=DRILLS.keys())
 async def test_prompt_part_that_crashes_engines_stops_reaching_them(tmp_path, settings):
     result = await PartDrill(tmp_path, settings).run()
-    assert len(result.late_arrivals) <= MAX_LATE_ARRIVALS, result.summary()
-    usual_share = result.begun_share(recovered=False)
-    share = result.begun_share(recovered=True)
-    assert share >= MIN_BEGUN_FACTOR * usual_share, result.summary()
     assert result.wrongly_banned_ids == []
+    assert result.is_kept(), result.summary()
--- a/tests/test_part_suspects.py
+++ b/tests/test_part_suspects.py
@@ -6,7 +6,11 @@
 
 from dotterelpitch.clock import ManualClock
 from dotterelpitch.routing.crash_detector import START_SECONDS, CrashDetector
-from dotterelpitch.routing.crash_history import MAX_RECENT_UPDATES, MAX_SUSPECTS
+from dotterelpitch.routing.crash_history import (
+    MAX_RECENT_UPDATES,
+    MAX_SUSPECTS,
+    SAME_CRASH_SECONDS,
+)
 from dotterelpitch.routing.crash_suspects import CrashSuspects, CrashVerdict
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.part_suspects import (
@@ -166,6 +170,32 @@
     assert vm.is_banned(*parts)
 
 
+# Guards against: all requests to an engine that stays down make their parts suspect.
+@pytest.mark.parametrize("started_ms", [0, 1], ids=["undated", "dated"])
+def test_losses_at_an_engine_that_is_down_are_of_one_crash(vm, started_ms):
+    engine = Engine("e1", "chat", "10.0.0.1:1", "a", started_ms=started_ms)
+    for n in range(2 * MIN_CRASHES_IF_SOUND):
+        attempt = vm.detector.attempt_sent(engine, f"content{n}", ("shared",))
+        vm.detector.attempt_ended(attempt, is_broken=True)
+        vm.detector.engine_ended(engine)
+        vm.clock.advance(2 * SAME_CRASH_SECONDS)
+    assert len(vm.parts.crashes_of("shared")) == 1
+    assert not vm.is_banned("shared")
+
+
+# Guards against: one crash that two VMs report is two, of which one lacks the cause.
+def test_reports_of_one_crash_under_two_names_explain_each_other(vm):
+    for n in range(2 * MIN_CRASHES_IF_SOUND):
+        vm.parts.engine_crashed(f"e{n}", "vm1-1", vm.clock.wall(), ["bad", "shared"])
+        vm.clock.advance(0.1)
+        vm.parts.engine_crashed(f"e{n}", "vm2-1", vm.clock.wall(), ["shared"])
+        vm.clock.advance(GAP_SECONDS)
+    vm.parts.engine_crashed("e0", "vm2-2", vm.clock.wall(), ["bad"])
+    vm.wait_for_reports()
+    assert vm.is_banned("bad")
+    assert not vm.is_banned("shared")
+
+
 def test_part_that_was_sound_long_ago_is_banned_after_three_crashes(vm):
     vm.parts.record_sound(["bad"])
     vm.clock.advance(RECENTLY_SOUND_SECONDS)
