Don't take an engine's silence for a response that goes on

Cause: a request counted as running, so that its start crashed no engine, when its first output was more than a second ago, and not when the output had gone on for a second. A silence takes more than a second to be detected, so each such crash cleared the part at fault. The crashes of a content were judged alike, as those of a request that others explain.

Change: the time between its first and last output counts. Both new tests failed before. The drill joins the table.

--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -226,7 +226,7 @@
         observer: AttemptObserver,
     ) -> None:
         body = await self._read_buffered(connection, limits)
-        observer.response_started()
+        observer.output_received()
         headers = response_headers(head.headers)
         if len(body) < MAX_BUFFERED_BYTES:
             await writer.send_response(head.status, headers, body)
@@ -266,7 +266,7 @@
                 if last_at is not None:
                     longest_pause_s = max(longest_pause_s, now - last_at)
                 last_at = now
-                observer.response_started()
+                observer.output_received()
                 if not writer.is_started:
                     await writer.start(head.status, _stream_headers(head))
                 await writer.write(complete_events)
--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -57,9 +57,9 @@
         """Record bytes of the response."""
         self._crash_watcher.heard_from(self._engine)
 
-    def response_started(self) -> None:
-        """Record that the first byte for the caller has arrived."""
-        self._crash_watcher.output_started(self._attempt)
+    def output_received(self) -> None:
+        """Record that bytes for the caller have arrived."""
+        self._crash_watcher.output_received(self._attempt)
         self._concurrency_limiter.response_started(self._request, self._is_crowded)
 
     def answered(self) -> None:
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -79,9 +79,9 @@
         """Record bytes from an engine."""
         self._tracker.heard_from(engine)
 
-    def output_started(self, attempt: UnansweredAttempt) -> None:
-        """Record that the engine has begun to send the response."""
-        self._detector.output_started(attempt)
+    def output_received(self, attempt: UnansweredAttempt) -> None:
+        """Record that the engine has sent the response or some of it."""
+        self._detector.output_received(attempt)
 
     def attempt_answered(self, attempt: UnansweredAttempt) -> None:
         """Record a complete response."""
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -37,8 +37,8 @@
     """A request sent to an engine that hasn't answered it.
 
     ``parts`` are the prompt parts that may crash engines. ``engine`` is as it was
-    registered then. All times are of the monotonic clock, in
-    seconds. ``ended_at`` is None while it is in flight, and ``first_output_at`` None
+    registered then. All times are of the monotonic clock, in seconds. ``ended_at`` is
+    None while it is in flight; ``first_output_at`` and ``last_output_at`` are None
     before the first byte of the response. ``is_broken`` is whether its connection
     broke.
     """
@@ -48,15 +48,16 @@
     parts: tuple[str, ...]
     sent_at: float
     first_output_at: float | None = None
+    last_output_at: float | None = None
     ended_at: float | None = None
     is_broken: bool = False
 
-    def was_running(self, now: float) -> bool:
-        """Return whether the engine had survived the start of the request."""
+    @property
+    def was_running(self) -> bool:
+        """Whether the engine had survived the start of the request."""
         if self.first_output_at is None:
             return False
-        until = now if self.ended_at is None else self.ended_at
-        return until - self.first_output_at > START_SECONDS
+        return self.last_output_at - self.first_output_at > START_SECONDS
 
 
 @frozen
@@ -103,10 +104,12 @@
         self._attempts_by_engine.setdefault(engine.id, []).append(attempt)
         return attempt
 
-    def output_started(self, attempt: UnansweredAttempt) -> None:
-        """Record that the engine has begun to send the response."""
+    def output_received(self, attempt: UnansweredAttempt) -> None:
+        """Record that the engine has sent the response or some of it."""
+        now = self._clock.monotonic()
+        attempt.last_output_at = now
         if attempt.first_output_at is None:
-            attempt.first_output_at = self._clock.monotonic()
+            attempt.first_output_at = now
 
     def attempt_answered(self, attempt: UnansweredAttempt) -> None:
         """Record a complete response."""
@@ -188,12 +191,11 @@
         """Record the parts of the requests in flight whose start crashed no engine."""
         if self._part_suspects.is_empty:
             return
-        now = self._clock.monotonic()
         self._part_suspects.record_sound(
             part
             for attempts in self._attempts_by_engine.values()
             for attempt in attempts
-            if attempt.ended_at is None and attempt.was_running(now)
+            if attempt.ended_at is None and attempt.was_running
             for part in attempt.parts
         )
 
@@ -247,7 +249,7 @@
                 engine.id,
                 run,
                 wall_offset_s + (attempt.ended_at or now),
-                attempt.was_running(now),
+                attempt.was_running,
             )
             for attempt in attempts
         ]
@@ -275,9 +277,8 @@
 
         A part of one that had been running didn't crash the engine.
         """
-        now = self._clock.monotonic()
-        starting = [a.parts for a in attempts if not a.was_running(now)]
-        running = [a.parts for a in attempts if a.was_running(now)]
+        starting = [a.parts for a in attempts if not a.was_running]
+        running = [a.parts for a in attempts if a.was_running]
         self._part_suspects.engine_crashed(
             crash.engine, crash.engine_run, crash.at, chain.from_iterable(starting)
         )
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -41,6 +41,13 @@
     detector.attempt_ended(attempt, is_broken=True)
 
 
+def respond_for(detector, clock, attempt, seconds):
+    """Send some of the response now and some after a time."""
+    detector.output_received(attempt)
+    clock.advance(seconds)
+    detector.output_received(attempt)
+
+
 def test_request_in_flight_in_two_crashes_is_banned(detector, suspects):
     for engine_id in ("e1", "e2"):
         lose(detector, engine_id, "bad")
@@ -184,8 +191,7 @@
     for engine_id in ("e1", "e2", "e3"):
         beside = detector.attempt_sent(engine(engine_id), "beside")
         if output_s is not None:
-            detector.output_started(beside)
-            clock.advance(output_s)
+            respond_for(detector, clock, beside, output_s)
         lose(detector, engine_id, "bad")
         detector.attempt_ended(beside, is_broken=True)
         detector.engine_ended(engine(engine_id))
@@ -193,13 +199,26 @@
     assert suspects.verdict("beside") is ALONE
 
 
+# Guards against: the silence of an ended engine is taken for a response that goes on.
+def test_request_after_whose_first_output_an_engine_falls_silent_is_banned(
+    clock, suspects, detector
+):
+    for engine_id in ("e1", "e2"):
+        attempt = detector.attempt_sent(engine(engine_id), "bad")
+        respond_for(detector, clock, attempt, 0.2)
+        clock.advance(2 * START_SECONDS)
+        detector.record_sound_parts()
+        [crash] = detector.engine_ended(engine(engine_id))
+        assert not crash.was_running
+    assert suspects.verdict("bad") is BANNED
+
+
 def test_running_request_beside_as_many_crashes_is_served(clock):
     suspects = CrashSuspects(clock, max_crashes=3)
     detector = CrashDetector("vm1", clock, suspects, PartSuspects(clock, suspects))
     for engine_id in ("e1", "e2", "e3"):
         beside = detector.attempt_sent(engine(engine_id), "beside")
-        detector.output_started(beside)
-        clock.advance(START_SECONDS + 0.5)
+        respond_for(detector, clock, beside, START_SECONDS + 0.5)
         lose(detector, engine_id, "bad")
         detector.attempt_ended(beside, is_broken=True)
         detector.engine_ended(engine(engine_id))
--- a/tests/test_part_crash_drill.py
+++ b/tests/test_part_crash_drill.py
@@ -33,6 +33,9 @@
         siblings=1,
         prompt=("bad",),
     ),
+    "silent engines after some events": PartDrillSettings(
+        death=Death.SILENT, returns=Return.NEW_ID, crash_events=5, down_s=5.0
+    ),
     "two such parts": PartDrillSettings(faults=2, engines=9),
 }
 
--- a/tests/test_part_suspects.py
+++ b/tests/test_part_suspects.py
@@ -208,8 +208,9 @@
 def test_part_of_a_running_request_is_sound(vm):
     engine = Engine("busy", "chat", "10.0.0.1:1", "a", started_ms=1)
     attempt = vm.detector.attempt_sent(engine, "long", ("shared",))
-    vm.detector.output_started(attempt)
+    vm.detector.output_received(attempt)
     vm.clock.advance(START_SECONDS + 0.1)
+    vm.detector.output_received(attempt)
     for _ in range(2 * MIN_CRASHES_IF_SOUND):
         vm.crash_chain(1, "shared", "bad")
     vm.wait_for_reports()
@@ -217,6 +218,19 @@
     assert vm.parts.crashes_of("shared") == []
 
 
+# Guards against: an engine's silence after some output clears the part at fault.
+def test_part_whose_requests_fall_silent_after_some_output_is_banned(vm):
+    for n in range(MIN_CRASHES):
+        engine = Engine(f"e{n}", "chat", "10.0.0.1:1", "a", started_ms=1)
+        attempt = vm.detector.attempt_sent(engine, f"bad{n}", ("bad",))
+        vm.detector.output_received(attempt)
+        vm.clock.advance(2 * START_SECONDS)
+        vm.detector.record_sound_parts()
+        vm.detector.engine_ended(engine)
+    vm.wait_for_reports()
+    assert vm.is_banned("bad")
+
+
 # Guards against: a ban that outlives its reason.
 @pytest.mark.parametrize(
     ("was_sound", "crashes", "first_trial_s"),
