Take a response that ends with its connection for complete if its engine lives on

Cause: the end of the engine was the end of a complete response. It cleared the part and the content at fault, and no one asked the engine for a sign of life.

Change: such a response, unless the engine had been sending it for a second, stays open to suspicion until the engine gives a sign of life after it; silent engines are asked as after any unanswered request. It clears parts and contents then and not before. What the caller gets is unchanged. The end of an attempt is one callback in place of two flags.

The drill joins the table; the new test of the detector fails without the change.

--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -132,8 +132,9 @@
             result = await self._handle_response(
                 connection, call, limits, writer, events, observer
             )
-            observer.answered()
-            return evolve(result, connect_s=connect_s)
+            is_end_certain = not connection.has_ended_response
+            observer.answered(is_end_certain)
+            return evolve(result, connect_s=connect_s, is_end_certain=is_end_certain)
         except AnswerLostError as error:
             observer.connection_broke()
             failure = _FAILURE_BY_ERROR[type(error)]
--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -1,5 +1,8 @@
 """Reports each attempt to the concurrency limiter and to the crash detector."""
 
+from collections.abc import Callable
+from functools import partial
+
 import attrs
 from attrs import define, field
 
@@ -30,11 +33,11 @@
     _engine: Engine
     _request: InFlightRequest = field(init=False)
     _attempt: UnansweredAttempt = field(init=False)
-    _is_broken: bool = field(default=False, init=False)
-    _is_answered: bool = field(default=False, init=False)
+    _report_end: Callable[[UnansweredAttempt], None] = field(init=False)
     _is_crowded: bool = field(default=True, init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._report_end = partial(self._crash_watcher.attempt_ended, is_broken=False)
         route = self._call.route
         self._request = self._concurrency_limiter.request_started(
             self._call.service, route.objective_s
@@ -62,21 +65,24 @@
         self._crash_watcher.output_received(self._attempt)
         self._concurrency_limiter.response_started(self._request, self._is_crowded)
 
-    def answered(self) -> None:
-        """Record that the response is complete."""
-        self._is_answered = True
+    def answered(self, is_end_certain: bool) -> None:
+        """Record that the response is complete.
+
+        ``is_end_certain`` is False if it ended with its connection.
+        """
+        watcher = self._crash_watcher
+        self._report_end = (
+            watcher.attempt_answered if is_end_certain else watcher.attempt_closed
+        )
 
     def connection_broke(self) -> None:
         """Record that the connection broke before the response was complete."""
-        self._is_broken = True
+        self._report_end = partial(self._crash_watcher.attempt_ended, is_broken=True)
 
     def ended(self) -> None:
         """Record that the attempt has ended."""
         self._concurrency_limiter.request_ended(self._request)
-        if self._is_answered:
-            self._crash_watcher.attempt_answered(self._attempt)
-            return
-        self._crash_watcher.attempt_ended(self._attempt, self._is_broken)
+        self._report_end(self._attempt)
 
 
 def log_limit_change(change: LimitChange) -> None:
--- a/dotterelpitch/gateway/attempt_result.py
+++ b/dotterelpitch/gateway/attempt_result.py
@@ -13,8 +13,10 @@
 
     ``status``, ``headers``, and ``body`` hold the engine's response if it was not
     delivered; of a delivered one only ``status`` is set. ``failure`` is what counts
-    against the engine's health, or None. ``connect_s`` is the time to get a
-    connection and ``longest_pause_s`` the longest pause in a stream, in seconds.
+    against the engine's health, or None. ``is_end_certain`` is False if the response
+    ended with its connection, as it also does when an engine ends. ``connect_s`` is
+    the time to get a connection and ``longest_pause_s`` the longest pause in a
+    stream, in seconds.
     """
 
     outcome: AttemptOutcome
@@ -23,5 +25,6 @@
     headers: Headers = ()
     body: bytes = b""
     failure: FailureKind | None = None
+    is_end_certain: bool = True
     connect_s: float | None = None
     longest_pause_s: float | None = None
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -64,7 +64,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
             self._drop_old_check_times()
-            self._detector.record_sound_parts()
+            self._detector.record_survivals()
             for engine in self._detector.silent_engines():
                 if engine.id not in self._checked_at_by_engine:
                     self.check_soon(engine)
@@ -88,6 +88,18 @@
         self._detector.attempt_answered(attempt)
         self._tracker.heard_from(attempt.engine)
 
+    def attempt_closed(self, attempt: UnansweredAttempt) -> None:
+        """Record a response that ended with its connection.
+
+        If it was short and the engine is silent afterwards, the engine is checked.
+        """
+        if attempt.was_running:
+            self._detector.attempt_answered(attempt)
+        else:
+            self._detector.attempt_ended(
+                attempt, is_broken=False, ended_with_connection=True
+            )
+
     def attempt_ended(self, attempt: UnansweredAttempt, is_broken: bool) -> None:
         """Record an attempt without a complete response, and check its engine.
 
--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -78,9 +78,10 @@
         if result.outcome is AttemptOutcome.DELIVERED:
             self.error_rates.record(engine.id, failed=False)
             self.prompt_cache.record(engine.run_id, call.shared_parts)
-            self.crash_detector.content_completed(call.fingerprint)
-            self.suspects.record_completion(call.fingerprint)
-            self.part_suspects.record_sound(call.leading_parts)
+            if result.is_end_certain:
+                self.crash_detector.request_completed(
+                    call.fingerprint, call.leading_parts
+                )
         if result.failure is None:
             self.health.record_success(engine.id)
             self.domain_reachability.record_response(engine.failure_domain)
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -40,7 +40,7 @@
     registered then. All times are of the monotonic clock, in seconds. ``ended_at`` is
     None while it is in flight; ``first_output_at`` and ``last_output_at`` are None
     before the first byte of the response. ``is_broken`` is whether its connection
-    broke.
+    broke, and ``ended_with_connection`` whether the response ended so.
     """
 
     engine: Engine
@@ -51,6 +51,7 @@
     last_output_at: float | None = None
     ended_at: float | None = None
     is_broken: bool = False
+    ended_with_connection: bool = False
 
     @property
     def was_running(self) -> bool:
@@ -115,17 +116,29 @@
         """Record a complete response."""
         self._attempts_by_engine[attempt.engine.id].remove(attempt)
 
-    def attempt_ended(self, attempt: UnansweredAttempt, is_broken: bool) -> None:
+    def attempt_ended(
+        self,
+        attempt: UnansweredAttempt,
+        is_broken: bool,
+        ended_with_connection: bool = False,
+    ) -> None:
         """Record that an attempt ended unanswered.
 
-        ``is_broken`` is whether its connection broke; otherwise the time ran out or
-        the caller left.
+        ``is_broken`` is whether its connection broke; otherwise the time ran out, the
+        caller left, or the response ``ended_with_connection``, as it also does when
+        the engine ends.
         """
         attempt.ended_at = self._clock.monotonic()
         attempt.is_broken = is_broken
+        attempt.ended_with_connection = ended_with_connection
+
+    def request_completed(self, fingerprint: str, parts: tuple[str, ...]) -> None:
+        """Record that an engine has completed a request and lives on.
 
-    def content_completed(self, fingerprint: str) -> None:
-        """Drop the ended attempts of a content, since an engine has completed it."""
+        The ended attempts of this content are dropped.
+        """
+        self._suspects.record_completion(fingerprint)
+        self._part_suspects.record_sound(parts)
         for attempts in self._attempts_by_engine.values():
             attempts[:] = [
                 attempt
@@ -187,7 +200,23 @@
         ]
         return self._record_crash(previous, attempts)
 
-    def record_sound_parts(self) -> None:
+    def record_survivals(self) -> None:
+        """Record the requests that their engines turn out to have survived."""
+        self._record_survived_closes()
+        self._record_running_parts()
+
+    def _record_survived_closes(self) -> None:
+        """Record the responses that ended with their connection, not their engine."""
+        completed = [
+            attempt
+            for attempts in self._attempts_by_engine.values()
+            for attempt in attempts
+            if attempt.ended_with_connection and not self._is_open(attempt)
+        ]
+        for attempt in completed:
+            self.request_completed(attempt.fingerprint, attempt.parts)
+
+    def _record_running_parts(self) -> None:
         """Record the parts of the requests in flight whose start crashed no engine."""
         if self._part_suspects.is_empty:
             return
@@ -283,7 +312,7 @@
             crash.engine, crash.engine_run, crash.at, chain.from_iterable(starting)
         )
         self._part_suspects.record_sound(chain.from_iterable(running))
-        self.record_sound_parts()
+        self._record_running_parts()
 
     def _run_name(self, engine: Engine) -> str:
         """Return a name for the run that has ended, the same at all VMs if possible.
--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -38,8 +38,10 @@
     """Sends one request at a time and reads its response.
 
     ``is_reusable`` becomes False, and stays so, as soon as the next response might
-    not belong to the next request. ``idle_since`` is a time of the monotonic clock in
-    seconds, and ``idle_limit_s`` how long the engine keeps an idle connection open.
+    not belong to the next request. ``has_ended_response`` is whether the last response
+    was complete only by the connection's end. ``idle_since`` is a time of the monotonic
+    clock in seconds, and ``idle_limit_s`` how long the engine keeps an idle connection
+    open.
     """
 
     def __init__(self) -> None:
@@ -150,6 +152,7 @@
         self.is_reusable = False
         if self._ends_at_close and self._received_eof and error is None:
             self._is_complete = True
+            self.has_ended_response = True
         elif self._error is None:
             reason = str(error) if error else "closed"
             error_class = (
@@ -220,6 +223,7 @@
         self._is_complete = False
         self._is_ignored = False
         self._ends_at_close = False
+        self.has_ended_response = False
         self._received_eof = False
         self._error: AnswerLostError | None = None
         self._is_busy = getattr(self, "_is_busy", False)
--- a/tests/harness/crash_drill/engine.py
+++ b/tests/harness/crash_drill/engine.py
@@ -18,12 +18,14 @@
 class Death(StrEnum):
     """How an engine ends, as seen on its sockets.
 
-    A REFUSING engine resets its connections and listens no more. A SILENT one keeps
-    them open without a byte, and new ones are answered by its kernel at most. A
-    RESETTING one accepts new connections and resets them.
+    A REFUSING engine resets its connections and listens no more. A CLOSING one closes
+    them properly instead. A SILENT one keeps them open without a byte, and new ones are
+    answered by its kernel at most. A RESETTING one accepts new connections and resets
+    them.
     """
 
     REFUSING = "refusing"
+    CLOSING = "closing"
     SILENT = "silent"
     RESETTING = "resetting"
 
@@ -104,10 +106,12 @@
             self._abort_connections()
             return
         self._server.close()
-        if self._death is Death.REFUSING:
-            self._abort_connections()
-        else:
+        if self._death is Death.SILENT:
             self._listen_silently()
+        elif self._death is Death.CLOSING:
+            self._close_connections()
+        else:
+            self._abort_connections()
 
     def _end_run(self) -> None:
         """Close what the current run has left open."""
@@ -130,6 +134,10 @@
             self._silent_listener.close()
             self._silent_listener = None
 
+    def _close_connections(self) -> None:
+        for writer in list(self._writers):
+            writer.close()
+
     def _abort_connections(self) -> None:
         for writer in list(self._writers):
             reset_connection(writer)
--- a/tests/harness/crash_drill/part_drill.py
+++ b/tests/harness/crash_drill/part_drill.py
@@ -41,7 +41,8 @@
     sound prompts have after the first; ``faults`` is how many such parts there are,
     in turn. ``crash_events`` is how many events an engine sends before it ends; -1
     is an end before the head. Sound streams last for ``stream_s`` and have
-    ``own_parts`` parts that no other request has.
+    ``own_parts`` parts that no other request has. Responses are chunked if
+    ``is_chunked``, and end with their connection otherwise.
     """
 
     engines: int = 6
@@ -55,6 +56,7 @@
     siblings: int = 6
     own_parts: int = 1
     stream_s: float = 0.8
+    is_chunked: bool = True
     deadline_s: float = 4.0
 
 
@@ -142,15 +144,24 @@
         first = int(headers.get("last-event-id") or 0) + 1
         last = int(self._settings.stream_s / EVENT_SECONDS)
         if await self._write_events(writer, first, last):
-            writer.write(b"0\r\n\r\n")
+            self._end_response(writer)
 
     def _write_head(
         self, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
-        lines = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        framing = "Connection: close"
+        if self._settings.is_chunked:
+            framing = "Transfer-Encoding: chunked"
         if self.is_up:
+            lines = ("Content-Type: text/event-stream", framing)
             writer.write(response_head(headers, *lines))
 
+    def _end_response(self, writer: asyncio.StreamWriter) -> None:
+        if self._settings.is_chunked:
+            writer.write(b"0\r\n\r\n")
+        else:
+            writer.close()
+
     async def _write_events(
         self, writer: asyncio.StreamWriter, first: int, last: int
     ) -> bool:
@@ -160,7 +171,9 @@
             if self.has_ended(run) or writer.is_closing():
                 return False
             event = f"id: {number}\ndata: {number}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            if self._settings.is_chunked:
+                event = b"%x\r\n%s\r\n" % (len(event), event)
+            writer.write(event)
             await asyncio.sleep(EVENT_SECONDS)
         return not self.has_ended(run)
 
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -6,6 +6,7 @@
 from dotterelpitch.routing.crash_detector import (
     MAX_ATTEMPT_AGE_SECONDS,
     READ_ORDER_SECONDS,
+    SILENCE_SECONDS,
     START_SECONDS,
     CrashDetector,
 )
@@ -114,10 +115,29 @@
     assert [c.suspect for c in detector.engine_ended(engine("e1"))] == ["lost"]
 
 
+# Guards against: the end of an engine is taken for the end of a complete response.
+@pytest.mark.parametrize("lives_on", [True, False])
+def test_response_that_ends_with_its_connection_is_complete_if_its_engine_lives_on(
+    clock, suspects, detector, lives_on
+):
+    for engine_id in ("e1", "e2"):
+        attempt = detector.attempt_sent(engine(engine_id), "bad")
+        detector.output_received(attempt)
+        detector.attempt_ended(attempt, is_broken=False, ended_with_connection=True)
+        clock.advance(2 * READ_ORDER_SECONDS)
+        if lives_on:
+            detector.heard_from(engine_id)
+        detector.record_survivals()
+        clock.advance(SILENCE_SECONDS)
+        assert bool(detector.silent_engines()) is not lives_on
+        detector.engine_ended(engine(engine_id))
+    assert (suspects.verdict("bad") is BANNED) is not lives_on
+
+
 def test_request_that_completes_elsewhere_asks_for_no_check(detector, clock):
     lost = detector.attempt_sent(engine("e1"), "late")
     detector.attempt_ended(lost, is_broken=False)
-    detector.content_completed("late")
+    detector.request_completed("late", ())
     clock.advance(1.0)
     assert detector.silent_engines() == []
     assert detector.engine_ended(engine("e1")) == []
@@ -207,7 +227,7 @@
         attempt = detector.attempt_sent(engine(engine_id), "bad")
         respond_for(detector, clock, attempt, 0.2)
         clock.advance(2 * START_SECONDS)
-        detector.record_sound_parts()
+        detector.record_survivals()
         [crash] = detector.engine_ended(engine(engine_id))
         assert not crash.was_running
     assert suspects.verdict("bad") is BANNED
--- a/tests/test_part_crash_drill.py
+++ b/tests/test_part_crash_drill.py
@@ -36,6 +36,9 @@
     "silent engines after some events": PartDrillSettings(
         death=Death.SILENT, returns=Return.NEW_ID, crash_events=5, down_s=5.0
     ),
+    "responses and engines that end with their connections": PartDrillSettings(
+        death=Death.CLOSING, is_chunked=False, crash_events=1
+    ),
     "two such parts": PartDrillSettings(faults=2, engines=9),
 }
 
