Let a trial of one prompt part run no request with another banned one

What callers saw (drill with 2 sound requests a second): the shared part, banned beside the part at fault in the requests that hold both, was due for its trial first, and the request that ran for it crashed an engine.

Cause: a ban named the first banned part of a request, and the trial looked at it alone. Change: a request has all its banned parts, and runs as a trial only if that of each is due. The new test failed before.

--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -59,9 +59,9 @@
         verdict = self.suspects.verdict(call.fingerprint, self.part_suspects.explains)
         return verdict is CrashVerdict.BANNED
 
-    def banned_part(self, call: Call) -> str | None:
-        """Return the prompt part for which a call is banned, or None."""
-        return self.part_suspects.banned_part(call.leading_parts)
+    def banned_parts(self, call: Call) -> list[str]:
+        """Return the prompt parts for which a call is banned, if any."""
+        return self.part_suspects.banned_parts(call.leading_parts)
 
     def heard_from(self, engine: Engine) -> None:
         """Record bytes from an engine."""
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -148,17 +148,19 @@
 
         ``may_try`` allows it to be the trial that is due; one of the VMs does it.
         """
-        part = self._engine_tracker.banned_part(call)
-        if part is None:
+        parts = self._engine_tracker.banned_parts(call)
+        if not parts:
             return False
         suspects = self._engine_tracker.part_suspects
         is_chosen = may_try and random.random() < 1 / self._retry_budget.vm_count
-        is_tried = is_chosen and suspects.try_trial(part)
+        is_tried = is_chosen and suspects.try_trial(parts)
         log_event(
             Event.PART_TRIED if is_tried else Event.PART_BANNED,
             request=call.request_id,
-            part=part,
-            engines=suspects.crashed_engines(part),
+            parts=parts,
+            engines=sorted(
+                {e for part in parts for e in suspects.crashed_engines(part)}
+            ),
         )
         return not is_tried
 
--- a/dotterelpitch/routing/part_suspects.py
+++ b/dotterelpitch/routing/part_suspects.py
@@ -72,8 +72,8 @@
     ...     clock.advance(1.0)
     ...     suspects.engine_crashed(f"e{n}", "run-1", clock.wall(), ["shared", "bad"])
     ...     suspects.record_sound(["shared"])
-    >>> suspects.banned_part(["shared", "bad", "own"]), suspects.banned_part(["shared"])
-    ('bad', None)
+    >>> suspects.banned_parts(["shared", "bad"]), suspects.banned_parts(["shared"])
+    (['bad'], [])
     """
 
     def __init__(
@@ -117,12 +117,12 @@
         sound = (self._newer_clearance(crash) for crash in crashes)
         super().merge([], [clearance for clearance in sound if clearance])
 
-    def banned_part(self, parts: Sequence[str]) -> str | None:
-        """Return the part for which a request is banned, or None.
+    def banned_parts(self, parts: Sequence[str]) -> list[str]:
+        """Return the parts for which a request is banned, if any.
 
         ``parts`` are those of its prompt but the last.
         """
-        return next((part for part in parts if self._is_banned(part, parts)), None)
+        return [part for part in parts if self._is_banned(part, parts)]
 
     def explains(self, crash: Crash) -> bool:
         """Return whether a part is a likelier cause of a crash than any content."""
@@ -131,12 +131,12 @@
             for part in self.suspects_near(crash.engine, crash.at)
         )
 
-    def try_trial(self, part: str) -> bool:
-        """Return whether a request with a banned part may run, and record it."""
+    def try_trial(self, banned_parts: Iterable[str]) -> bool:
+        """Return whether a request with these banned parts may run, and record it."""
         now = self._clock.wall()
-        if now < self._next_trial_at(part):
+        if any(now < self._next_trial_at(part) for part in banned_parts):
             return False
-        self._last_trial_at_by_part[part] = now
+        self._last_trial_at_by_part.update(dict.fromkeys(banned_parts, now))
         return True
 
     def _next_trial_at(self, part: str) -> float:
--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -107,7 +107,7 @@
     def is_banned(self, gateway):
         """Return whether a VM refuses the requests."""
         suspects = gateway.engine_tracker.part_suspects
-        return suspects.banned_part(["shared", "bad"]) is not None
+        return bool(suspects.banned_parts(["shared", "bad"]))
 
     def attempt_sent(self, detector, engine):
         """Record that a request was sent to an engine."""
@@ -145,7 +145,7 @@
             chain.restart(next(restarts))
         chain.step()
         assert not any(
-            gateway.engine_tracker.part_suspects.banned_part(["shared", "sound"])
+            gateway.engine_tracker.part_suspects.banned_parts(["shared", "sound"])
             for gateway in fleet.alive.values()
         )
 
--- a/tests/test_part_suspects.py
+++ b/tests/test_part_suspects.py
@@ -62,7 +62,7 @@
 
     def is_banned(self, *parts):
         """Return whether a request with these parts before its last is banned."""
-        return self.parts.banned_part(parts) is not None
+        return bool(self.parts.banned_parts(parts))
 
 
 @pytest.fixture
@@ -225,7 +225,7 @@
         attempt = vm.detector.attempt_sent(engine, f"bad{n}", ("bad",))
         vm.detector.output_received(attempt)
         vm.clock.advance(2 * START_SECONDS)
-        vm.detector.record_sound_parts()
+        vm.detector.record_survivals()
         vm.detector.engine_ended(engine)
     vm.wait_for_reports()
     assert vm.is_banned("bad")
@@ -243,19 +243,31 @@
     if was_sound:
         vm.parts.record_sound(["bad"])
     vm.crash_chain(crashes, "bad")
-    assert not vm.parts.try_trial("bad")
+    assert not vm.parts.try_trial(["bad"])
     intervals = []
     for _ in range(4):
         began = vm.clock.wall()
-        while not vm.parts.try_trial("bad"):
+        while not vm.parts.try_trial(["bad"]):
             vm.clock.advance(0.5)
-        assert not vm.parts.try_trial("bad")
+        assert not vm.parts.try_trial(["bad"])
         intervals.append(vm.clock.wall() - began)
         vm.crash_chain(1, "bad")
     assert intervals[0] >= first_trial_s - GAP_SECONDS - 0.5
     assert all(b >= 1.5 * a for a, b in pairwise(intervals))
 
 
+# Guards against: the trial of a part runs a request with one that is banned longer.
+def test_trial_waits_for_all_banned_parts_of_a_request(vm):
+    vm.parts.record_sound(["was sound"])
+    vm.clock.advance(GAP_SECONDS)
+    vm.crash_chain(MIN_CRASHES_IF_SOUND, "was sound", "bad")
+    vm.clock.advance(FIRST_TRIAL_SECONDS_IF_SOUND * 4)
+    banned = vm.parts.banned_parts(["was sound", "bad"])
+    assert banned == ["was sound", "bad"]
+    assert not vm.parts.try_trial(banned)
+    assert vm.parts.try_trial(["was sound"])
+
+
 # Guards against: a peer bans a part because it doesn't know that it is sound elsewhere.
 def test_peers_learn_that_a_part_is_sound_at_one_of_them():
     clock = ManualClock(1000.0)
@@ -288,7 +300,7 @@
     for peer in peers:
         assert len(peer.crashes_of("shared")) == 1
         assert len(peer.crashes_of("bad")) == MIN_CRASHES + 1
-        assert peer.banned_part(["shared", "bad"]) == "bad"
+        assert peer.banned_parts(["shared", "bad"]) == ["bad"]
 
 
 # Guards against: memory or messages that grow with the length and number of prompts.
