Don't pass on an empty stream whose connection ended before its first event

What callers saw: an engine that ends between the head and the first event of a stream without length or chunks looked like one that had answered with nothing: 200, whole.

Change: such a stream counts as lost: another engine where the route allows it, otherwise 502.

--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -276,6 +276,9 @@
                 timeout_s = min(timeout_s, STREAM_STALL_SECONDS)
         if events.has_partial_event:
             raise AnswerLostError("the stream ended inside an event")
+        is_empty = last_at is None and not events.last_id
+        if is_empty and connection.has_ended_response:
+            raise AnswerLostError("the stream ended before its first event")
         if not writer.is_started:
             await writer.start(head.status, _stream_headers(head))
         await writer.end()
