Let the soak crash engines by a prompt part, and answer until the connection's end

New fault: for 8 s, prompts with one part that crashes each engine, no two alike, beside streams that share their first part; the check of what crashes engines counts five crashes for a part. A seventh of all responses has neither length nor chunks. The fault proxy passed each proper end of a connection on as a reset, so that no such response could be whole through it; it now closes properly what was closed properly.

--- a/tests/harness/gateway_soak/checks.py
+++ b/tests/harness/gateway_soak/checks.py
@@ -8,6 +8,7 @@
     MAX_LATE_ARRIVALS,
     STOP_SECONDS,
 )
+from tests.harness.crash_drill.part_drill import MAX_PART_CRASHES_BEFORE_STOP
 from tests.harness.gateway_fleet import ACCOUNT
 from tests.harness.gateway_soak.engine import CRASH_ID_PREFIX
 from tests.harness.gateway_soak.fleet import (
@@ -160,18 +161,21 @@
 
 
 def crashing_requests_stop(history: History) -> Violations:
-    """A content that crashes engines soon reaches no engine any more.
+    """What crashes engines soon reaches no engine any more.
 
     A few arrivals later than that are allowed; those sent by gateways with a fault
     don't count.
     """
-    arrivals_by_content: dict[str, list[CrashArrival]] = defaultdict(list)
+    arrivals_by_fault: dict[str, list[CrashArrival]] = defaultdict(list)
     for arrival in history.crash_arrivals:
-        arrivals_by_content[arrival.content].append(arrival)
-    for content, arrivals in arrivals_by_content.items():
-        if len(arrivals) < MAX_CRASHES_BEFORE_STOP:
+        arrivals_by_fault[arrival.fault].append(arrival)
+    for fault, arrivals in arrivals_by_fault.items():
+        allowed = MAX_CRASHES_BEFORE_STOP
+        if arrivals[0].is_of_part:
+            allowed = MAX_PART_CRASHES_BEFORE_STOP
+        if len(arrivals) < allowed:
             continue
-        until = arrivals[MAX_CRASHES_BEFORE_STOP - 1].at + STOP_SECONDS
+        until = arrivals[allowed - 1].at + STOP_SECONDS
         late = [
             arrival
             for arrival in arrivals
@@ -181,7 +185,7 @@
             )
         ]
         if len(late) > MAX_LATE_ARRIVALS:
-            yield f"{content} reached engines {len(late)} times too late"
+            yield f"{fault} reached engines {len(late)} times too late"
 
 
 def only_crashing_requests_are_banned(history: History) -> Violations:
--- a/tests/harness/gateway_soak/engine.py
+++ b/tests/harness/gateway_soak/engine.py
@@ -14,7 +14,7 @@
 WORK_SECONDS = (0.002, 0.03)
 # The share of its requests that a failing engine fails.
 FAILURE_SHARE = 0.3
-# The ids of requests that crash engines: this, the content's name, VM, and number.
+# The ids of requests that crash engines: this, the fault's name, VM, and number.
 CRASH_ID_PREFIX = "crash"
 
 
@@ -33,6 +33,11 @@
     return 1 + sum(request_id.encode()) % 30
 
 
+def ends_with_connection(request_id: str) -> bool:
+    """Return whether the answer has neither a length nor chunks."""
+    return sum(request_id.encode()) % 7 == 0
+
+
 def event(request_id: str, number: int) -> bytes:
     """Return one event of a stream."""
     return f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
@@ -123,8 +128,8 @@
         if exchange.header("Expect-Instance") != self.id:
             _write_misdirected(exchange)
             return
-        _, content, vm, _ = request_id.split("-")
-        self._history.crash_arrivals.append(CrashArrival(content, vm, time.monotonic()))
+        _, fault, vm, _ = request_id.split("-")
+        self._history.crash_arrivals.append(CrashArrival(fault, vm, time.monotonic()))
         self._on_crash(self)
         await exchange.caller_left.wait()
 
@@ -143,6 +148,10 @@
             exchange.reset()
             return
         body = plain_body(request_id)
+        if ends_with_connection(request_id):
+            _write_head(exchange, request_id, "Connection: close")
+            self._end_with_connection(exchange, body, failure_mode == "cut")
+            return
         _write_head(exchange, request_id, f"Content-Length: {len(body)}")
         if failure_mode == "cut":
             exchange.writer.write(body[: len(body) // 2])
@@ -152,17 +161,27 @@
         if failure_mode == "extra":
             exchange.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
 
+    @staticmethod
+    def _end_with_connection(
+        exchange: EngineExchange, body: bytes, is_cut: bool
+    ) -> None:
+        """Write a body that ends with its connection, or break it off."""
+        if is_cut:
+            exchange.writer.write(body[: len(body) // 2])
+            exchange.reset()
+        else:
+            exchange.writer.write(body)
+            exchange.writer.close()
+
     async def _stream(
         self, exchange: EngineExchange, request_id: str, failure_mode: str
     ):
         first = int(exchange.header("Last-Event-Id") or 0) + 1
         last = event_count(request_id)
-        _write_head(
-            exchange,
-            request_id,
-            "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
-        )
+        is_chunked = not ends_with_connection(request_id)
+        framing = "Transfer-Encoding: chunked" if is_chunked else "Connection: close"
+        write = exchange.write_chunk if is_chunked else exchange.writer.write
+        _write_head(exchange, request_id, "Content-Type: text/event-stream", framing)
         breaks_at = (
             self._random.randint(first, last) if failure_mode in ("lost", "cut") else 0
         )
@@ -171,12 +190,15 @@
                 return
             data = event(request_id, number)
             if number == breaks_at:
-                exchange.write_chunk(data[: len(data) // 2])
+                write(data[: len(data) // 2])
                 exchange.reset()
                 return
-            exchange.write_chunk(data)
+            write(data)
             await asyncio.sleep(EVENT_SECONDS * (10 if failure_mode == "slow" else 1))
-        exchange.write_chunk(b"")
+        if is_chunked:
+            write(b"")
+        else:
+            exchange.writer.close()
 
 
 def request_body(request_id: str) -> bytes:
--- a/tests/harness/gateway_soak/faults.py
+++ b/tests/harness/gateway_soak/faults.py
@@ -6,15 +6,15 @@
 
 from tests.harness.gateway_soak.engine import SoakEngine
 from tests.harness.gateway_soak.fleet import DRAIN_SECONDS, SoakFleet, SoakVm
-from tests.harness.gateway_soak.history import ENGINES, PEERS, STORE
+from tests.harness.gateway_soak.history import ENGINES, PART_PREFIX, PEERS, STORE
 from tests.harness.gateway_soak.traffic import Traffic
 from tests.harness.proxy import Direction
 from tests.harness.waiting import pause
 
 EXTRA_DRAIN_SECONDS = 0.5
-# A content that crashes engines comes for so long, with this time between.
-CRASH_CONTENT_SECONDS = 8.0
-CRASH_CONTENT_INTERVAL_SECONDS = 0.4
+# What crashes engines comes for so long, with this time between.
+CRASH_SECONDS = 8.0
+CRASH_INTERVAL_SECONDS = 0.4
 FAILURE_MODES = ("errors", "lost", "cut", "extra", "slow")
 
 
@@ -29,7 +29,7 @@
         self._fleet = fleet
         self._traffic = traffic
         self._random = fleet.random
-        self._crash_content_count = 0
+        self._crash_fault_count = 0
 
     def kinds(self) -> list[Callable[[float], Awaitable[None]]]:
         """Return every kind of fault."""
@@ -54,6 +54,7 @@
             self.silence_engine,
             self.release_engine,
             self.crash_engines,
+            self.crash_engines_by_part,
             self.change_config,
             self.change_configs_quickly,
             self.surge,
@@ -248,13 +249,23 @@
 
     async def crash_engines(self, seconds: float) -> None:
         """Send one content that crashes engines again and again, at any VM."""
-        self._crash_content_count += 1
-        content = f"content{self._crash_content_count}"
-        until = self._now() + CRASH_CONTENT_SECONDS
+        await self._keep_sending(self._traffic.send_crashing, "content")
+
+    async def crash_engines_by_part(self, seconds: float) -> None:
+        """Send prompts with one part that crashes engines, at any VM."""
+        await self._keep_sending(self._traffic.send_crashing_prompt, PART_PREFIX)
+
+    async def _keep_sending(
+        self, send: Callable[[str], Awaitable[None]], kind: str
+    ) -> None:
+        """Send requests with a new fault of this kind for some seconds."""
+        self._crash_fault_count += 1
+        fault = f"{kind}{self._crash_fault_count}"
+        until = self._now() + CRASH_SECONDS
         sent = set()
         while self._now() < until:
-            sent.add(asyncio.create_task(self._traffic.send_crashing(content)))
-            await pause(CRASH_CONTENT_INTERVAL_SECONDS)
+            sent.add(asyncio.create_task(send(fault)))
+            await pause(CRASH_INTERVAL_SECONDS)
         await asyncio.gather(*sent)
 
     async def change_config(self, seconds: float) -> None:
--- a/tests/harness/gateway_soak/history.py
+++ b/tests/harness/gateway_soak/history.py
@@ -12,6 +12,8 @@
 # The harness itself may run this late on a busy machine.
 SCHEDULING_MARGIN_SECONDS = 0.3
 BASE_KEY = "key-1"
+# The names of prompt parts that crash engines begin with this.
+PART_PREFIX = "part"
 STORE = "store"
 ENGINES = "engines"
 PEERS = "peers"
@@ -66,14 +68,19 @@
 class CrashArrival:
     """The arrival of a request that crashes the engine which runs it.
 
-    ``content`` names the content, which comes again with other request ids, and
-    ``vm`` the gateway that was sent the request; ``at`` is a monotonic time.
+    ``fault`` names the content or the prompt part that comes again with other request
+    ids, and ``vm`` the gateway that was sent the request; ``at`` is a monotonic time.
     """
 
-    content: str
+    fault: str
     vm: str
     at: float
 
+    @property
+    def is_of_part(self) -> bool:
+        """Whether a prompt part is at fault."""
+        return self.fault.startswith(PART_PREFIX)
+
 
 @attrs.define
 class FaultSpan:
--- a/tests/harness/gateway_soak/runner.py
+++ b/tests/harness/gateway_soak/runner.py
@@ -19,7 +19,7 @@
 WARM_UP_SECONDS = 2.0
 SETTLE_SECONDS = 4.0
 FINAL_REQUESTS = 60
-BANNED_EVENT = Event.REQUEST_BANNED.number
+BAN_EVENTS = (Event.REQUEST_BANNED.number, Event.PART_BANNED.number)
 
 
 @attrs.define
@@ -58,7 +58,8 @@
     history.banned_ids = [
         event["request"]
         for vm in fleet.vms
-        for event in vm.gateway.process.events(BANNED_EVENT)
+        for number in BAN_EVENTS
+        for event in vm.gateway.process.events(number)
     ]
     return SoakResult(
         seed,
--- a/tests/harness/gateway_soak/traffic.py
+++ b/tests/harness/gateway_soak/traffic.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import aiohttp
 
@@ -26,6 +28,9 @@
 MAX_CANCEL_SECONDS = 0.4
 # The number of distinct prompt prefixes, which stand for conversations.
 CHAT_COUNT = 20
+# The first part of all prompts.
+COMMON_PART = "aa"
+EMPTY: Mapping[str, str] = MappingProxyType({})
 # The share of requests with a route or key of the three newest configs, which
 # older or newer configs may lack.
 CHANGED_CONFIG_SHARE = 0.15
@@ -81,20 +86,37 @@
         return sent
 
     async def send_crashing(self, content: str) -> None:
-        """Send a request with this content, which crashes engines, at a random VM.
+        """Send a request with this content, which crashes engines, at a random VM."""
+        await self._send_crashing(content, f"/safe/{content}", content)
 
-        It has a session of its own, since its fault may outlast the other traffic.
+    async def send_crashing_prompt(self, part: str) -> None:
+        """Send a request with this prompt part, which crashes engines, at a random VM.
+
+        No two are alike but in this part and one that all requests share.
+        """
+        number = self._count + 1
+        prompt = {"Prompt-Prefix": f"{COMMON_PART}:100,{part}:50,c{number:x}:9"}
+        route = self._random.choice(["stream", "resumable"])
+        await self._send_crashing(part, f"/{route}/{number}", str(number), prompt)
+
+    async def _send_crashing(
+        self, fault: str, path: str, content: str, prompt: Mapping[str, str] = EMPTY
+    ) -> None:
+        """Send a request that crashes engines in a session of its own.
+
+        The fault may outlast the other traffic.
         """
         self._count += 1
         vm = self._pick_vm()
-        request_id = f"{CRASH_ID_PREFIX}-{content}-{vm.name}-{self._count}"
+        request_id = f"{CRASH_ID_PREFIX}-{fault}-{vm.name}-{self._count}"
         headers = {
             "Host": HOST,
             "Request-Id": request_id,
             "Credential": self._fleet.keys[0],
             "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+            **prompt,
         }
-        url = f"http://{vm.gateway.caller_address}/safe/{content}"
+        url = f"http://{vm.gateway.caller_address}{path}"
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with (
                 asyncio.timeout(DEADLINE_SECONDS),
@@ -138,7 +160,7 @@
             "Credential": sent.key,
             "Tenant": "forged",
             "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
-            "Prompt-Prefix": f"aa:100,{chat:x}:50,{sent.id[1:]}:9",
+            "Prompt-Prefix": f"{COMMON_PART}:100,{chat:x}:50,{sent.id[1:]}:9",
         }
         url = f"http://{vm.gateway.caller_address}{sent.path}"
         async with self._session.post(url, headers=headers, data=sent.body) as answer:
--- a/tests/harness/proxy.py
+++ b/tests/harness/proxy.py
@@ -179,7 +179,8 @@
 class ProxiedConnection:
     """A client's connection and the one to the target that its bytes are sent on.
 
-    ``has_lost_bytes`` is set when bytes were discarded.
+    ``has_lost_bytes`` is set when bytes were discarded. If one side closes its
+    connection properly, so is that of the other side; otherwise it is reset.
     """
 
     def __init__(
@@ -195,6 +196,7 @@
         self._writer = writer
         self._target_writer: asyncio.StreamWriter | None = None
         self._is_half_open = False
+        self._has_ended_properly = False
         self._closed = asyncio.Event()
 
     async def run(self) -> None:
@@ -221,7 +223,16 @@
         for pump in pumps:
             pump.cancel()
         await asyncio.gather(*pumps, return_exceptions=True)
-        self.abort()
+        if self._has_ended_properly and not self.has_lost_bytes:
+            self._close()
+        else:
+            self.abort()
+
+    def _close(self) -> None:
+        """Close the connections to client and target properly."""
+        self._closed.set()
+        self._writer.close()
+        self._target_writer.close()
 
     def abort(self) -> None:
         """Reset the connections to client and target."""
@@ -258,6 +269,7 @@
             with contextlib.suppress(OSError):
                 data = b""
                 data = await reader.read(CHUNK_BYTES)
+                self._has_ended_properly |= not data
             if direction is Direction.FORWARD and not self.source:
                 self.source = _source_of(data)
             delay = self._proxy.link(self.source, direction).delay_seconds
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -4,8 +4,10 @@
 
 from tests.harness.gateway_soak import checks
 from tests.harness.gateway_soak.history import (
+    PART_PREFIX,
     STORE,
     ConfigVersion,
+    CrashArrival,
     FaultSpan,
     History,
     Run,
@@ -120,6 +122,17 @@
     assert len(list(check(history))) == violations
 
 
+@pytest.mark.parametrize(
+    ("fault", "crashes_before_stop"), [("content1", 3), (f"{PART_PREFIX}1", 5)]
+)
+def test_check_reports_what_crashes_engines_too_late(fault, crashes_before_stop):
+    in_time = [CrashArrival(fault, "vm1", 10.0)] * crashes_before_stop
+    late = [CrashArrival(fault, "vm1", 14.0)] * 4
+    assert list(checks.crashing_requests_stop(History(crash_arrivals=in_time + late)))
+    allowed = in_time + late[:3]
+    assert not list(checks.crashing_requests_stop(History(crash_arrivals=allowed)))
+
+
 def test_check_reports_retries_beyond_budget():
     requests = [sent(at=10.0 + n / 50) for n in range(100)]
     runs = [run(at=10.0 + n / 50) for n in range(100)]
