Don't count the crashes of a content that a prompt part explains

Cause: a content with three crashes was banned if any of them wasn't explained by a part or another content, though two remained. Change: a content needs three crashes that no part explains.

--- a/dotterelpitch/routing/crash_suspects.py
+++ b/dotterelpitch/routing/crash_suspects.py
@@ -71,13 +71,13 @@
         """Return how a request with this content may run now.
 
         ``explains`` returns whether something other than a content is the likelier
-        cause of a crash.
+        cause of a crash, which then doesn't count.
         """
         crashes = self.crashes_of(fingerprint)
         latest = self._clock.wall() - self._report_delay_s
-        reported = [crash for crash in crashes if crash.at <= latest]
-        if len(reported) >= self._max_crashes and self._is_cause_of_any(
-            [crash for crash in reported if not explains(crash)], len(crashes)
+        counted = [c for c in crashes if c.at <= latest and not explains(c)]
+        if len(counted) >= self._max_crashes and self._is_cause_of_any(
+            counted, len(crashes)
         ):
             return CrashVerdict.BANNED
         return CrashVerdict.ALONE if crashes else CrashVerdict.FREE
--- a/tests/test_part_suspects.py
+++ b/tests/test_part_suspects.py
@@ -149,6 +149,17 @@
     assert not vm.is_banned("chat")
 
 
+# Guards against: a sound request that met the crashes of two parts is banned.
+def test_content_beside_two_crashing_parts_is_not_banned(vm):
+    vm.crash_chain(MIN_CRASHES - 1, "bad")
+    vm.crash(("last bad", ["bad"]), ("sound", ["chat"]))
+    for n in range(MIN_CRASHES - 1):
+        vm.crash((f"worse{n}", ["worse"]), ("sound", ["chat"]))
+    vm.wait_for_reports()
+    verdict = vm.contents.verdict("sound", vm.parts.explains)
+    assert verdict is not CrashVerdict.BANNED
+
+
 # Guards against: a rack or a release that ends all engines bans what all share.
 def test_part_in_crashes_of_one_moment_is_not_banned(vm):
     vm.parts.record_sound(["shared"])
