End a part's ban when its crashes are too old, even if nothing else happens

Found by reading. A judgement was kept until a crash or a clearance was added, so on a fleet without either a ban would have gone on beyond the hour for which crashes count. A judgement is now made anew after a minute. The new test failed before.

--- a/dotterelpitch/routing/part_suspects.py
+++ b/dotterelpitch/routing/part_suspects.py
@@ -45,6 +45,8 @@
 TRIAL_SPREAD_FACTOR = 2.0
 # A new judgement waits until judging takes no more than this share of the time.
 JUDGEMENT_TIME_SHARE = 0.1
+# Crashes become too old to count without any change, so a judgement does, too.
+MAX_JUDGEMENT_AGE_SECONDS = 60.0
 # Bounds the memory for the times at which parts were sound.
 MAX_SOUND_PARTS = 50_000
 # A peer that knows a part to have been sound at some time learns of a later time only
@@ -127,7 +129,7 @@
         """Return whether a part is a likelier cause of a crash than any content."""
         return self._judge().explains(crash)
 
-    def try_trial(self, banned_parts: Iterable[str]) -> bool:
+    def try_trial(self, banned_parts: Sequence[str]) -> bool:
         """Return whether a request with these banned parts may run, and record it."""
         now = self._clock.wall()
         if any(now < self._next_trial_at(part) for part in banned_parts):
@@ -184,7 +186,9 @@
         """Return the current judgement; a costly one is kept for longer."""
         now = self._clock.monotonic()
         version = self._update_count, self._contents.update_count
-        if version == self._judged_version or now < self._next_judgement_at:
+        age_s = now - self._next_judgement_at
+        is_current = version == self._judged_version
+        if age_s < 0 or (is_current and age_s < MAX_JUDGEMENT_AGE_SECONDS):
             return self._judgement
         self._judgement = Judgement.of(self._frequent_parts(), self._contents_near)
         self._judged_version = version
--- a/tests/test_part_suspects.py
+++ b/tests/test_part_suspects.py
@@ -11,6 +11,7 @@
     MAX_RECENT_UPDATES,
     MAX_SUSPECTS,
     SAME_CRASH_SECONDS,
+    SUSPICION_SECONDS,
 )
 from dotterelpitch.routing.crash_suspects import CrashSuspects, CrashVerdict
 from dotterelpitch.routing.engines import Engine
@@ -212,6 +213,15 @@
     assert not vm.is_banned("shared")
 
 
+# Guards against: a ban goes on for as long as nothing else happens.
+def test_ban_ends_when_its_crashes_are_too_old(vm):
+    vm.crash_chain(MIN_CRASHES, "bad")
+    vm.wait_for_reports()
+    assert vm.is_banned("bad")
+    vm.clock.advance(SUSPICION_SECONDS)
+    assert not vm.is_banned("bad")
+
+
 def test_part_that_was_sound_long_ago_is_banned_after_three_crashes(vm):
     vm.parts.record_sound(["bad"])
     vm.clock.advance(RECENTLY_SOUND_SECONDS)
