Name long prompt parts by a hash in crash reports

Found by reading: gateways tell their peers of the parts in flight in a crash, and a caller chooses how long a part is. 512 parts of some kilobytes each would exceed the size of a message and close the links. A part of more than 64 characters is named by its hash; all parts of the users' platform are far shorter.

--- a/dotterelpitch/gateway/call.py
+++ b/dotterelpitch/gateway/call.py
@@ -9,6 +9,9 @@
 from dotterelpitch.platform.headers import CallerHeaders, Headers
 from dotterelpitch.routing.route_table import Account, Route, RoutingConfig
 
+# A longer prompt part is named by its hash.
+MAX_PART_CHARS = 64
+
 
 @frozen
 class Call:
@@ -61,10 +64,13 @@
         """The parts of the prompt, in order; empty for a request without a prompt."""
         return self.headers.prompt_parts if self.route.has_prompt else ()
 
-    @property
+    @cached_property
     def leading_parts(self) -> tuple[str, ...]:
-        """The parts of the prompt but the last, which is specific to the request."""
-        return self.prompt_parts[:-1]
+        """The parts of the prompt but the last, which is specific to the request.
+
+        A hash stands for a long part, since peers are told of parts.
+        """
+        return tuple(map(_shorten, self.prompt_parts[:-1]))
 
     @cached_property
     def shared_parts(self) -> tuple[str, ...]:
@@ -75,6 +81,12 @@
         return self.leading_parts or self.prompt_parts
 
 
+def _shorten(part: str) -> str:
+    if len(part) <= MAX_PART_CHARS:
+        return part
+    return xxhash.xxh3_128_hexdigest(part.encode("utf-8", "surrogateescape"))
+
+
 @define
 class ResponseWriter(ABC):
     """Writes the response to one request.
