--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -39,6 +39,7 @@
 from dotterelpitch.routing.engine_choice import EngineChooser
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_retry_budget import FleetRetryBudget
+from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
 from dotterelpitch.routing.route_table import CallerLimits
 from dotterelpitch.telemetry.events import Event, log_event
 from dotterelpitch.upstream.pool import SWEEP_INTERVAL_SECONDS, ConnectionPool
@@ -72,6 +73,7 @@
         self.concurrency_limiter = AdaptiveConcurrencyLimiter(
             self._clock, log_limit_change
         )
+        self.rate_limits = RateLimitRegistry(self._clock)
         self.pool = ConnectionPool(self._clock)
         engine_tracker = self.engine_tracker
         self.state.directory.on_restart = engine_tracker.record_engine_restart
@@ -93,7 +95,11 @@
             self.retry_budget,
             self.concurrency_limiter,
             AttemptRunner(
-                self._clock, self.pool, self.concurrency_limiter, self.crash_watcher
+                self._clock,
+                self.pool,
+                self.concurrency_limiter,
+                self.crash_watcher,
+                self.rate_limits,
             ),
         )
         self.links = LinkTable()
@@ -104,6 +110,7 @@
             self.pool,
             self.links,
             self.concurrency_limiter,
+            self.rate_limits,
         )
         self.ingress = Ingress(
             self._clock, self.state, forwarder, BodyMemory.for_vm(vm.memory_mb)
@@ -225,7 +232,9 @@
             self.ingress.connections.close_idle(callers.connections, limits)
             self.pool.sweep()
             self._settings_reloader.check()
-            self.engine_tracker.retain(self.state.directory.remembered_ids())
+            remembered_ids = self.state.directory.remembered_ids()
+            self.engine_tracker.retain(remembered_ids)
+            self.rate_limits.retain(remembered_ids)
 
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -16,6 +16,7 @@
     ResponseClass,
     classify_response,
     decode_load,
+    decode_rate_limit,
     encode_engine_headers,
     response_headers,
 )
@@ -23,6 +24,7 @@
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
 from dotterelpitch.routing.engine_choice import EngineChoice
 from dotterelpitch.routing.health import FailureKind
+from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.upstream.connection import EngineConnection, HttpResponseHead
 from dotterelpitch.upstream.errors import (
@@ -88,11 +90,13 @@
         pool: ConnectionPool,
         concurrency_limiter: AdaptiveConcurrencyLimiter,
         crash_watcher: CrashWatcher,
+        rate_limits: RateLimitRegistry,
     ) -> None:
         self._clock = clock
         self._pool = pool
         self._concurrency_limiter = concurrency_limiter
         self._crash_watcher = crash_watcher
+        self._rate_limits = rate_limits
 
     async def run(
         self,
@@ -121,7 +125,11 @@
             return AttemptResult(AttemptOutcome.NOT_SENT, str(error), failure=failure)
         connect_s = self._clock.monotonic() - started
         observer = AttemptObserver(
-            self._concurrency_limiter, self._crash_watcher, call, engine
+            self._concurrency_limiter,
+            self._crash_watcher,
+            self._rate_limits,
+            call,
+            engine,
         )
         try:
             connection.send(
@@ -176,7 +184,11 @@
         async with asyncio.timeout(self._seconds_until(limits.answer_by)):
             head = await connection.read_head()
         response_class = classify_response(head.status, head.value_by_name)
-        observer.head_received(response_class, decode_load(head.value_by_name))
+        observer.head_received(
+            response_class,
+            decode_load(head.value_by_name),
+            decode_rate_limit(head.headers),
+        )
         if response_class is not ResponseClass.ANSWERED:
             body = await self._read_buffered(connection, limits)
             if len(body) >= MAX_BUFFERED_BYTES:
--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -1,4 +1,4 @@
-"""Reports each attempt to the concurrency limiter and to the crash detector."""
+"""Reports each attempt to the limiters and to the crash detector."""
 
 from collections.abc import Callable
 from functools import partial
@@ -16,8 +16,15 @@
 )
 from dotterelpitch.routing.crash_detector import UnansweredAttempt
 from dotterelpitch.routing.engines import Engine
+from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
 from dotterelpitch.telemetry.events import Event, log_event
 
+# The classes of responses that tell an engine's limit, by whether they name one.
+_CLASSES_BY_IS_NAMED = {
+    True: {ResponseClass.ANSWERED, ResponseClass.NOT_RUN, ResponseClass.FAILED},
+    False: {ResponseClass.ANSWERED},
+}
+
 
 @define
 class AttemptObserver:
@@ -29,6 +36,7 @@
 
     _concurrency_limiter: AdaptiveConcurrencyLimiter
     _crash_watcher: CrashWatcher
+    _rate_limits: RateLimitRegistry
     _call: Call
     _engine: Engine
     _request: InFlightRequest = field(init=False)
@@ -47,15 +55,32 @@
         )
 
     def head_received(
-        self, response_class: ResponseClass, load: ReportedLoad | None
+        self,
+        response_class: ResponseClass,
+        load: ReportedLoad | None,
+        rate_limit: float | None,
     ) -> None:
-        """Record the head of the response; a rejection counts as late."""
+        """Record the head of the response; a rejection counts as late.
+
+        ``rate_limit`` is the limit that it names, in requests per second, or None.
+        """
         self.data_received()
+        self._record_rate_limit(response_class, rate_limit)
         if load is not None:
             self._is_crowded = load.is_crowded
         if response_class is ResponseClass.NOT_RUN:
             self._concurrency_limiter.request_rejected(self._request)
 
+    def _record_rate_limit(
+        self, response_class: ResponseClass, rate_limit: float | None
+    ) -> None:
+        """Record the limit of a response that is the engine's own.
+
+        Only a proper answer without a limit shows that there is none any more.
+        """
+        if response_class in _CLASSES_BY_IS_NAMED[rate_limit is not None]:
+            self._rate_limits.record_response(self._engine, rate_limit)
+
     def data_received(self) -> None:
         """Record bytes of the response."""
         self._crash_watcher.heard_from(self._engine)
--- a/dotterelpitch/gateway/metrics.py
+++ b/dotterelpitch/gateway/metrics.py
@@ -13,6 +13,7 @@
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.health import EngineHealth
+from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
 from dotterelpitch.telemetry.events import Event, observe_events
 from dotterelpitch.telemetry.text_metrics import (
     Counter,
@@ -40,6 +41,7 @@
         pool: ConnectionPool,
         links: LinkTable,
         concurrency_limiter: AdaptiveConcurrencyLimiter,
+        rate_limits: RateLimitRegistry,
     ) -> None:
         self._state = state
         self._loads = loads
@@ -47,6 +49,7 @@
         self._pool = pool
         self._links = links
         self._concurrency_limiter = concurrency_limiter
+        self._rate_limits = rate_limits
         self.events = _counter(
             "events", "Logged events, by event number and name.", "number", "name"
         )
@@ -134,6 +137,12 @@
                 self._limits,
                 "service",
             ),
+            _gauge(
+                "engine_rate_limit",
+                "Requests per second that an engine has said it takes.",
+                self._engine_rate_limits,
+                "engine",
+            ),
             _gauge(
                 "config_version",
                 "Version of the config in force, 0 for none.",
@@ -207,6 +216,12 @@
             for service, limit in self._concurrency_limiter.active_limits()
         ]
 
+    def _engine_rate_limits(self) -> Iterable[Sample]:
+        return [
+            ((limit.engine_id,), limit.per_second)
+            for limit in self._rate_limits.in_force()
+        ]
+
     def _config_version(self) -> Iterable[Sample]:
         config = self._state.config
         return [((), config.version if config else 0)]
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -90,6 +90,7 @@
     ENGINE_CHECKED = (419, logging.INFO, "an engine was asked for a sign of life")
     PART_BANNED = (420, logging.ERROR, "a request was rejected for a prompt part")
     PART_TRIED = (421, logging.WARNING, "a request with a banned prompt part runs")
+    RATE_LIMIT_CHANGED = (422, logging.INFO, "an engine names another rate limit")
     LIMIT_MOVED = (416, logging.INFO, "the limit on requests in flight has changed")
     REQUEST_ENDED = (501, logging.INFO, "a request has its final outcome")
     REQUEST_REFUSED = (503, logging.WARNING, "a request was rejected before it ran")
