--- a/tests/harness/crash_drill/drill.py
+++ b/tests/harness/crash_drill/drill.py
@@ -75,7 +75,7 @@
 
     ``fault`` names what crashes engines in it, and is empty for a sound one.
     ``status`` is that of the last attempt if it is complete, ``first_status`` that of
-    the first one as soon as its head has come.
+    the first one as soon as its head has come, which took ``first_seconds``.
     """
 
     request_id: str
@@ -84,6 +84,7 @@
     at: float
     status: int = 0
     first_status: int = 0
+    first_seconds: float = 0.0
 
     @property
     def crashes(self) -> bool:
@@ -347,6 +348,7 @@
 
         def began(status: int) -> None:
             record.first_status = status
+            record.first_seconds = time.monotonic() - record.at
 
         headers = {**headers, "Request-Id": record.request_id}
         record.status = await self._exchange(gateway, path, body, headers, began)
