Keep the requests of all VMs to an engine within the rate that it names

Cause: nothing read the limit. Class of fault: a bound that holds for the fleet, of which each VM sees a sliver; so reading it at each VM alone wouldn't do.

Change: VMs tell one another the latest limit of each engine, and with each digest what they have sent there and what wanted to go there. Each VM fills a leaky bucket per engine with the requests of all; what the others send before they report it is bounded by chance. A VM that lost sight of others leaves them their part. While all engines of a service have limits, what they can't take is refused at once, by priority. Peers say which link messages they understand, so gateways of the version before aren't sent the new one.

Why it works: no VM holds a part of the limit, so none is lost with a VM or given out twice; what is sent unseen in a digest's time is near the limit times that time.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -23,6 +23,7 @@
 from dotterelpitch.gateway.metrics import GatewayMetrics
 from dotterelpitch.gateway.peer_directory import PeerDirectory
 from dotterelpitch.gateway.peer_links import PeerLinks
+from dotterelpitch.gateway.rate_limit_exchange import RateLimitExchange
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.settings import GatewaySettings
@@ -31,15 +32,15 @@
 from dotterelpitch.gateway.store_watcher import StoreWatcher
 from dotterelpitch.platform.store import StoreClient
 from dotterelpitch.platform.vm_settings import VmSettings
-from dotterelpitch.protocol.gateway_messages import FleetVm
+from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
 from dotterelpitch.protocol.handshake import Identity
 from dotterelpitch.protocol.server import HandlerTable, InnerServer
 from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
 from dotterelpitch.routing.engine_choice import EngineChooser
 from dotterelpitch.routing.fleet_loads import FleetLoads
+from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.fleet_retry_budget import FleetRetryBudget
-from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
 from dotterelpitch.routing.route_table import CallerLimits
 from dotterelpitch.telemetry.events import Event, log_event
 from dotterelpitch.upstream.pool import SWEEP_INTERVAL_SECONDS, ConnectionPool
@@ -73,7 +74,7 @@
         self.concurrency_limiter = AdaptiveConcurrencyLimiter(
             self._clock, log_limit_change
         )
-        self.rate_limits = RateLimitRegistry(self._clock)
+        self.rate_limits = FleetRateLimits(self._clock)
         self.pool = ConnectionPool(self._clock)
         engine_tracker = self.engine_tracker
         self.state.directory.on_restart = engine_tracker.record_engine_restart
@@ -85,6 +86,7 @@
             engine_tracker.error_rates,
             engine_tracker.domain_reachability,
             CacheSources(self.state.directory, engine_tracker.prompt_cache),
+            self.rate_limits.limiter,
         )
         forwarder = Forwarder(
             self._clock,
@@ -99,8 +101,9 @@
                 self.pool,
                 self.concurrency_limiter,
                 self.crash_watcher,
-                self.rate_limits,
+                self.rate_limits.registry,
             ),
+            self.rate_limits,
         )
         self.links = LinkTable()
         self.metrics = GatewayMetrics(
@@ -110,7 +113,7 @@
             self.pool,
             self.links,
             self.concurrency_limiter,
-            self.rate_limits,
+            self.rate_limits.registry,
         )
         self.ingress = Ingress(
             self._clock, self.state, forwarder, BodyMemory.for_vm(vm.memory_mb)
@@ -190,6 +193,9 @@
             digests,
             RecordExchange(self._clock, self.state, self._reader_selection),
             self._reader_selection,
+            RateLimitExchange(
+                self._clock, self.state, self._topology, fleet, self.rate_limits
+            ),
             self.loads,
             self.retry_budget,
             self._settings.digest_seconds,
@@ -201,7 +207,9 @@
         """Return the description of this VM for its peers."""
         vm = self._vm
         address = self._settings.peer_address or vm.peer_listen
-        return FleetVm(vm.vm_name, vm.failure_domain, address, vm.link_mbps)
+        return FleetVm(
+            vm.vm_name, vm.failure_domain, address, vm.link_mbps, LINK_VERSION
+        )
 
     async def _drain(self, listeners: Listeners) -> None:
         """Fail readiness checks, then let open requests end within the grace period."""
--- a/dotterelpitch/gateway/digest_exchange.py
+++ b/dotterelpitch/gateway/digest_exchange.py
@@ -92,7 +92,7 @@
         )
         if digest.store_revision == self._state.revision:
             self._state.confirm(digest.store_revision, store_age_s)
-        if self._accepts_load_from(link):
+        if self._topology.accepts_reports_from(link):
             self._loads.update_source(peer.name, digest.count_by_engine)
         else:
             self._loads.remove_source(peer.name)
@@ -134,15 +134,6 @@
                 fingerprints=sorted({crash.fingerprint for crash in crashes}),
             )
 
-    def _accepts_load_from(self, link: Link) -> bool:
-        """Return whether the loads on this link arrive on no other link.
-
-        This keeps the load of one VM from being counted twice.
-        """
-        if self._topology.is_relay:
-            return link.peer_is_relay or link.relay == self._vm
-        return link.peer.name == self._topology.relay
-
     def _loads_for(self, link: Link) -> dict[str, int]:
         """Return the request counts by engine that a peer gets only on this link."""
         if not self._topology.is_relay:
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
 from dotterelpitch.routing.engine_choice import EngineChoice, EngineChooser
 from dotterelpitch.routing.fleet_loads import FleetLoads
+from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.fleet_retry_budget import FleetRetryBudget
 from dotterelpitch.routing.health import FailureKind
 from dotterelpitch.routing.route_table import CallKind
@@ -49,6 +50,9 @@
 # Share of the non-retryable requests that may probe a suspect engine.
 UNSAFE_PROBE_SHARE = 0.1
 
+OVERLOAD_REASON = "the engines have more work than they can do in time"
+RATE_LIMIT_REASON = "the engines take fewer requests per second than are sent"
+NO_ENGINE_REASON = "no engine is known"
 BANNED_REASON = "requests with this content have crashed engines"
 BANNED_PART_REASON = "requests with this prompt part have crashed engines"
 
@@ -88,6 +92,7 @@
         retry_budget: FleetRetryBudget,
         concurrency_limiter: AdaptiveConcurrencyLimiter,
         attempt_runner: AttemptRunner,
+        rate_limits: FleetRateLimits,
     ) -> None:
         self._clock = clock
         self._state = state
@@ -97,6 +102,7 @@
         self._retry_budget = retry_budget
         self._concurrency_limiter = concurrency_limiter
         self._attempt_runner = attempt_runner
+        self._rate_limits = rate_limits
 
     async def forward(self, call: Call, writer: ResponseWriter) -> None:
         """Send the caller an engine's response, or a refusal with its reason."""
@@ -128,7 +134,10 @@
         if self._has_banned_part(call, may_try=True):
             return BANNED_PART_REASON
         if not self._concurrency_limiter.admits(call.service, call.priority):
-            return "the engines have more work than they can do in time"
+            return OVERLOAD_REASON
+        engines = self._state.directory.usable(call.service)
+        if not self._rate_limits.admits(call.service, call.priority, engines):
+            return RATE_LIMIT_REASON
         return ""
 
     def _is_banned(self, call: Call) -> bool:
@@ -214,6 +223,7 @@
             progress.failed_ids.append(engine_id)
         if result.outcome is AttemptOutcome.NOT_SENT:
             progress.unsent_count += 1
+            self._rate_limits.limiter.take_back(choice.engine)
         else:
             progress.sent_count += 1
         if result.outcome is not AttemptOutcome.DELIVERED:
@@ -285,10 +295,16 @@
             self._log_end(call, writer, "failed", failure)
             await writer.send_response(failure.status, failure.headers, failure.body)
             return
-        reason = last_result.reason if last_result else "no engine is known"
+        reason = last_result.reason if last_result else self._missing_reason(call)
         remaining_s = call.deadline - self._clock.monotonic()
         await refuse(writer, final, call.request_id, reason, remaining_s)
 
+    def _missing_reason(self, call: Call) -> str:
+        """Return why no engine was chosen for a call."""
+        if self._state.directory.usable(call.service):
+            return RATE_LIMIT_REASON
+        return NO_ENGINE_REASON
+
     def _log_choice(
         self, call: Call, choice: EngineChoice, progress: CallProgress
     ) -> None:
--- a/dotterelpitch/gateway/link.py
+++ b/dotterelpitch/gateway/link.py
@@ -13,7 +13,9 @@
     ``relay`` is the name of the VM that reports the peer's load to the fleet; it is
     empty before the peer's first digest. ``crash_reports_sent`` is the count of crash
     and clearance reports up to the last one sent, ``part_reports_sent`` that of those
-    on prompt parts. ``list_sent`` is the last fleet list
+    on prompt parts. ``rate_limits_sent`` and ``counts_sent`` are the same for the rate
+    limits and for the counts of requests, and ``contact_share_sent`` is the share of
+    the fleet in contact that was sent last. ``list_sent`` is the last fleet list
     sent and ``list_sent_at`` its time on the monotonic clock, in seconds.
     """
 
@@ -22,6 +24,9 @@
     relay: str = ""
     crash_reports_sent: int = 0
     part_reports_sent: int = 0
+    rate_limits_sent: int = 0
+    counts_sent: int = 0
+    contact_share_sent: float = 1.0
     list_sent: tuple[FleetVm, ...] = ()
     list_sent_at: float = float("-inf")
 
--- a/dotterelpitch/gateway/link_topology.py
+++ b/dotterelpitch/gateway/link_topology.py
@@ -13,6 +13,7 @@
     order_relays,
 )
 from dotterelpitch.protocol.gateway_messages import FleetVm
+from dotterelpitch.routing.fleet_counts import OWN
 from dotterelpitch.telemetry.events import Event, log_event
 
 # Of two VMs that need a link, one dials at once and the other one after this time.
@@ -90,6 +91,28 @@
         link = self._links.to_address(address)
         return link is not None and link.peer.name == self.relay
 
+    def accepts_reports_from(self, link: Link) -> bool:
+        """Return whether the counts on this link arrive on no other link.
+
+        This keeps the requests of one VM from being counted twice.
+        """
+        if self.is_relay:
+            return link.peer_is_relay or link.relay == self._fleet.own.name
+        return link.peer.name == self.relay
+
+    def passes_on(self, link: Link, source: str) -> bool:
+        """Return whether to report on this link what a source has counted.
+
+        ``source`` is a peer, or ``OWN``.
+        """
+        own = self._fleet.own.name
+        if not self.is_relay:
+            return link.peer.name == self.relay and source == OWN
+        if link.relay == own:
+            return source != link.peer.name
+        is_reported_here = source == OWN or source in self._links.members_of(own)
+        return link.peer_is_relay and is_reported_here
+
     def fleet_list_for(self, link: Link) -> tuple[FleetVm, ...]:
         """Return the VMs to list to a peer.
 
--- a/dotterelpitch/gateway/peer_directory.py
+++ b/dotterelpitch/gateway/peer_directory.py
@@ -100,6 +100,18 @@
         vm_by_name[self.own.name] = self.own
         return vm_by_name
 
+    def contact_share(self) -> float:
+        """Return the share of the known VMs that this VM exchanges digests with.
+
+        It does so with the linked VMs and with those that they list. A VM that others
+        have lost, too, is unknown after seconds.
+        """
+        linked = self._linked_by_name
+        names = {self.own.name, *linked}
+        for source in linked.keys() & self._list_by_source.keys():
+            names.update(vm.name for vm in self._list_by_source[source].vms)
+        return len(names) / len(self.known().keys() | names)
+
     def reachable(self) -> list[FleetVm]:
         """Return the known VMs except those marked as unreachable."""
         vms = self.known().values()
--- a/dotterelpitch/gateway/peer_links.py
+++ b/dotterelpitch/gateway/peer_links.py
@@ -12,6 +12,7 @@
 from dotterelpitch.gateway.link import Link, LinkTable
 from dotterelpitch.gateway.link_topology import LinkTopology
 from dotterelpitch.gateway.peer_directory import PeerDirectory
+from dotterelpitch.gateway.rate_limit_exchange import RateLimitExchange
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.state import GatewayState
@@ -22,6 +23,7 @@
     GatewayDigest,
     LinkOpened,
     OpenLink,
+    RateLimitDigest,
 )
 from dotterelpitch.protocol.handshake import Identity
 from dotterelpitch.protocol.server import HandlerTable
@@ -55,6 +57,7 @@
         digests: DigestExchange,
         records: RecordExchange,
         reader_selection: ReaderSelection,
+        rate_limits: RateLimitExchange,
         loads: FleetLoads,
         retry_budget: FleetRetryBudget,
         digest_period_s: float,
@@ -68,6 +71,7 @@
         self._digests = digests
         self._records = records
         self._reader_selection = reader_selection
+        self._rate_limits = rate_limits
         self._loads = loads
         self._retry_budget = retry_budget
         self._digest_period_s = digest_period_s
@@ -107,6 +111,7 @@
         # The count never shrinks: during a partition each part of the fleet leaves the
         # other part's share of the retry budget unused.
         self._max_vms_seen = max(self._max_vms_seen, len(self._fleet.known()))
+        self._rate_limits.update_contact_share()
         if self._max_vms_seen > 1:
             self._retry_budget.set_vm_count(self._max_vms_seen)
 
@@ -173,6 +178,8 @@
                     self._fleet.record_list(link.peer.name, message.vms)
                 elif isinstance(message, GatewayDigest):
                     self._apply_digest(link, message)
+                elif isinstance(message, RateLimitDigest):
+                    self._rate_limits.apply(link, message)
                 else:
                     return
         finally:
@@ -202,3 +209,5 @@
             link.list_sent = vms
             link.list_sent_at = now
         connection.write(link.stream.number, self._digests.make(link))
+        if (rate_limits := self._rate_limits.make(link)) is not None:
+            connection.write(link.stream.number, rate_limits)
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -8,19 +8,26 @@
 
 from dotterelpitch.protocol.codec import message
 
+# The first link version whose gateways understand RateLimitDigest.
+RATE_LIMITS_LINK_VERSION = 1
+LINK_VERSION = RATE_LIMITS_LINK_VERSION
+"""The link version of this program."""
+
 
 @frozen
 class FleetVm:
     """A gateway as it identifies itself to its peers.
 
     ``address`` is where its peers connect to it. ``link_mbps`` is the bandwidth of
-    its network link, by which relays are selected.
+    its network link, by which relays are selected. ``link_version`` tells which
+    messages it understands on a link; gateways that don't send it have 0.
     """
 
     name: str
     failure_domain: str
     address: str
     link_mbps: int
+    link_version: int = 0
 
 
 @frozen
@@ -87,6 +94,58 @@
     cleared: list[ClearanceReport] = field(factory=list)
 
 
+@frozen
+class RateLimitReport:
+    """The rate limit that a run of an engine has named.
+
+    ``named_age_ms`` is how long ago it did last, and ``absent_age_ms`` how long ago a
+    response named none, or -1.
+    """
+
+    engine: str
+    engine_run: str
+    per_second: float
+    named_age_ms: int
+    absent_age_ms: int
+
+
+@frozen
+class EngineCounts:
+    """What has been counted of an engine with a rate limit since the last digest.
+
+    ``wanted_first`` are the requests that want it before all other engines,
+    ``wanted_next`` those that another engine has turned away, and ``sent`` those sent
+    to it.
+    """
+
+    engine: str
+    wanted_first: int = 0
+    wanted_next: int = 0
+    sent: int = 0
+
+
+@frozen
+class ServiceCount:
+    """The requests of a priority to a service since the last digest."""
+
+    service: str
+    priority: int
+    count: int
+
+
+@message(78)
+class RateLimitDigest:
+    """Rate limits that the receiver lacks, and counts that it gets on no other link.
+
+    ``contact_share`` is the share of the fleet that the sender exchanges digests with.
+    """
+
+    limits: list[RateLimitReport] = field(factory=list)
+    engine_counts: list[EngineCounts] = field(factory=list)
+    service_counts: list[ServiceCount] = field(factory=list)
+    contact_share: float = 1.0
+
+
 @message(77)
 class FleetList:
     """The gateways that the sender reports as running; replaces its previous list."""
--- a/dotterelpitch/routing/engine_choice.py
+++ b/dotterelpitch/routing/engine_choice.py
@@ -9,15 +9,17 @@
 """
 
 import random
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from enum import StrEnum
 
 from attrs import define, field, frozen
 
 from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.domain_reachability import DomainReachability
+from dotterelpitch.routing.engine_rate_limiter import EngineRateLimiter
 from dotterelpitch.routing.engines import Engine, EngineDirectory
 from dotterelpitch.routing.error_rates import ErrorRates
+from dotterelpitch.routing.fleet_counts import EngineCountKind
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.health import EngineHealth, HealthState
 from dotterelpitch.routing.ranking import RankTable
@@ -32,6 +34,8 @@
 # An engine with a smaller share of its normal traffic counts as suspect in the
 # reason for a choice, and no prompt is copied from it.
 MIN_HEALTHY_SHARE = 0.5
+# At most this many engines with a rate limit are asked for one request.
+MAX_LIMITED_ASKED = 6
 
 
 class ChoiceReason(StrEnum):
@@ -43,6 +47,7 @@
     USUAL_ENGINE = "usual-engine"
     USUAL_ENGINE_FULL = "usual-engine-is-full"
     USUAL_ENGINE_SUSPECT = "usual-engine-is-suspect"
+    USUAL_ENGINE_LIMITED = "usual-engine-is-at-its-limit"
     LEAST_LOADED = "least-loaded"
 
 
@@ -75,6 +80,7 @@
     _error_rates: ErrorRates
     _reachability: DomainReachability
     _cache_sources: CacheSources
+    _rate_limiter: EngineRateLimiter
     _random: random.Random = field(factory=random.Random)
     _table_by_ids: dict[tuple[str, ...], RankTable] = field(factory=dict)
 
@@ -86,14 +92,15 @@
         unreachable_domains: Collection[str] = (),
         may_probe: bool = False,
     ) -> EngineChoice | None:
-        """Return the choice for a request, or None if no engine is left.
+        """Return the choice for a request, or None if no engine can take it.
 
         ``shared_parts`` are the leading prompt parts that other requests share;
         empty for a request without a prompt. ``excluded`` are the ids of engines
         that were already tried for the request. ``unreachable_domains`` are failure
         domains in which this request has found an engine unreachable; their
         engines are chosen last. ``may_probe`` allows the request to go to a
-        suspect engine to find out whether it works again.
+        suspect engine to find out whether it works again. The choice counts against
+        the engine's rate limit.
         """
         usable = self._directory.usable(service)
         engines = [engine for engine in usable if engine.id not in excluded]
@@ -101,19 +108,62 @@
             return None
         share_by_id = self._traffic_shares(engines, unreachable_domains, may_probe)
         load_by_id = self._loads.totals(engine.id for engine in engines)
-        mean_load = sum(load_by_id.values()) / len(engines)
+        limited_ids = self._rate_limiter.limits(engines).keys()
+        # Engines at their rate limits have little load, which says nothing of the rest.
+        bearing = [e for e in engines if e.id not in limited_ids] or engines
+        mean_load = sum(load_by_id[e.id] for e in bearing) / len(bearing)
         if shared_parts:
             return self._choose_by_prompt(
-                service, engines, shared_parts, share_by_id, load_by_id, mean_load
+                service,
+                engines,
+                shared_parts,
+                share_by_id,
+                load_by_id,
+                mean_load,
+                limited_ids,
             )
-        engine = min(
-            engines,
-            key=lambda e: self._load_score(e, load_by_id[e.id], share_by_id[e.id]),
-        )
+        engine = self._least_loaded(engines, load_by_id, share_by_id, limited_ids)
+        if engine is None:
+            return None
         return EngineChoice(
             engine, ChoiceReason.LEAST_LOADED, load_by_id[engine.id], mean_load
         )
 
+    def _least_loaded(
+        self,
+        engines: list[Engine],
+        load_by_id: Mapping[str, int],
+        share_by_id: Mapping[str, float],
+        limited_ids: Collection[str],
+    ) -> Engine | None:
+        def score(engine: Engine) -> float:
+            return self._load_score(
+                engine, load_by_id[engine.id], share_by_id[engine.id]
+            )
+
+        if not limited_ids:
+            return min(engines, key=score)
+        return self._first_within_limit(sorted(engines, key=score), limited_ids)
+
+    def _first_within_limit(
+        self, engines: Iterable[Engine], limited_ids: Collection[str]
+    ) -> Engine | None:
+        """Return the first engine whose rate limit allows a request, if it has one.
+
+        Not all engines with a limit are asked, which would take long in a large fleet.
+        """
+        asked_ids: set[str] = set()
+        wanted = EngineCountKind.WANTED_FIRST
+        for engine in engines:
+            if engine.id not in limited_ids:
+                return engine
+            if engine.id not in asked_ids and len(asked_ids) < MAX_LIMITED_ASKED:
+                asked_ids.add(engine.id)
+                if self._rate_limiter.try_send(engine, wanted):
+                    return engine
+            wanted = EngineCountKind.WANTED_NEXT
+        return None
+
     def _choose_by_prompt(
         self,
         service: str,
@@ -122,31 +172,34 @@
         share_by_id: Mapping[str, float],
         load_by_id: Mapping[str, int],
         mean_load: float,
-    ) -> EngineChoice:
+        limited_ids: Collection[str],
+    ) -> EngineChoice | None:
         engine_by_id = {engine.id: engine for engine in engines}
         ranked_ids = self._rank(sorted(engine_by_id), shared_parts[-1])
         bound = LOAD_BOUND_FACTOR * mean_load + LOAD_BOUND_SLACK_REQUESTS
-        chosen_id = next(
-            (i for i in ranked_ids if load_by_id[i] + 1 <= bound * share_by_id[i]), None
-        )
-        if chosen_id is None:
-            chosen_id = min(
-                ranked_ids,
-                key=lambda i: (load_by_id[i] + 1) / max(0.01, share_by_id[i]),
-            )
-        usual_share = share_by_id[ranked_ids[0]]
-        reason = (
-            ChoiceReason.USUAL_ENGINE_FULL
-            if usual_share >= MIN_HEALTHY_SHARE
-            else ChoiceReason.USUAL_ENGINE_SUSPECT
-        )
-        if chosen_id == ranked_ids[0]:
-            reason = ChoiceReason.USUAL_ENGINE
-        chosen = engine_by_id[chosen_id]
+
+        def overload(engine_id: str) -> float:
+            return (load_by_id[engine_id] + 1) / max(0.01, share_by_id[engine_id])
+
+        def candidates() -> Iterator[Engine]:
+            """Yield the engines within the bound by rank, then all by load."""
+            for engine_id in ranked_ids:
+                if load_by_id[engine_id] + 1 <= bound * share_by_id[engine_id]:
+                    yield engine_by_id[engine_id]
+            for engine_id in sorted(ranked_ids, key=overload):
+                yield engine_by_id[engine_id]
+
+        chosen = self._first_within_limit(candidates(), limited_ids)
+        if chosen is None:
+            return None
         source = self._cache_sources.find(
             service, shared_parts, chosen, self._rank, self._is_trusted
         )
-        return EngineChoice(chosen, reason, load_by_id[chosen_id], mean_load, source)
+        usual_id = ranked_ids[0]
+        reason = _reason(
+            chosen.id, usual_id, share_by_id[usual_id], usual_id in limited_ids
+        )
+        return EngineChoice(chosen, reason, load_by_id[chosen.id], mean_load, source)
 
     def _is_trusted(self, engine: Engine) -> bool:
         return self._health_share(engine, may_probe=False) >= MIN_HEALTHY_SHARE
@@ -196,3 +249,16 @@
             table = RankTable(dict.fromkeys(ids, 1))
             self._table_by_ids[ids] = table
         return table.order(cache_key, len(ids))
+
+
+def _reason(
+    chosen_id: str, usual_id: str, usual_share: float, usual_is_limited: bool
+) -> ChoiceReason:
+    """Return why an engine was chosen for a request whose usual one is known."""
+    if chosen_id == usual_id:
+        return ChoiceReason.USUAL_ENGINE
+    if usual_share < MIN_HEALTHY_SHARE:
+        return ChoiceReason.USUAL_ENGINE_SUSPECT
+    if usual_is_limited:
+        return ChoiceReason.USUAL_ENGINE_LIMITED
+    return ChoiceReason.USUAL_ENGINE_FULL
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -17,6 +17,7 @@
 from dotterelpitch.routing.engines import Engine, EngineDirectory
 from dotterelpitch.routing.error_rates import ErrorRates
 from dotterelpitch.routing.fleet_loads import FleetLoads
+from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.health import EngineHealth, FailureKind
 from dotterelpitch.routing.prompt_cache_index import PromptCacheIndex
 
@@ -45,6 +46,7 @@
             self.errors,
             self.reachability,
             CacheSources(self.directory, self.cache_index),
+            FleetRateLimits(self.clock).limiter,
             random.Random(7),
         )
         for n in range(engines):
