Log the version of each attempt's engine and what the attempt resumes

The logs of second1 can't tell whether the gateway or a caller took a stream up at another version. The version of a registration is decoded (missing: unknown; not text: the entry names no engine, as for its other fields), and so is Resumes. No decision uses them yet.

--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -50,6 +50,9 @@
 # Share of the non-retryable requests that may probe a suspect engine.
 UNSAFE_PROBE_SHARE = 0.1
 
+# A caller may send any text as the id of an earlier attempt.
+MAX_LOGGED_CHARS = 64
+
 OVERLOAD_REASON = "the engines have more work than they can do in time"
 RATE_LIMIT_REASON = "the engines take fewer requests per second than are sent"
 NO_ENGINE_REASON = "no engine is known"
@@ -315,6 +318,9 @@
             route=call.route.name,
             account=call.account_name,
             engine=choice.engine.id,
+            version=choice.engine.version,
+            resumes=call.headers.resumes[:MAX_LOGGED_CHARS],
+            last_event=progress.events.last_id,
             fingerprint=call.fingerprint,
             parts=call.prompt_parts,
             reason=choice.reason,
--- a/dotterelpitch/platform/engine_record.py
+++ b/dotterelpitch/platform/engine_record.py
@@ -39,4 +39,5 @@
         slots=read_field(content, "capacity", int, 0),
         is_leaving=_IS_LEAVING_BY_STATE[state],
         started_ms=read_field(content, "born", int, 0),
+        version=read_field(content, "version", str, ""),
     )
--- a/dotterelpitch/platform/headers.py
+++ b/dotterelpitch/platform/headers.py
@@ -65,6 +65,8 @@
     """The decoded headers of a caller's request.
 
     ``budget_s`` is the time that the caller is willing to wait, or None.
+    ``resumes`` is the request id of the attempt that brought the first event of the
+    stream that is taken up again after ``last_event_id``, if the caller names it.
     ``prompt_parts`` are the ids of the parts of a prompt, in order; equal ids after
     equal preceding parts stand for the same tokens. ``forwarded`` holds the headers
     that are sent to the engine unchanged.
@@ -74,6 +76,7 @@
     key: str
     budget_s: float | None
     last_event_id: str
+    resumes: str
     prompt_parts: tuple[str, ...]
     forwarded: Headers
 
@@ -137,6 +140,7 @@
         key=value_by_name.get("credential", ""),
         budget_s=_decode_budget(value_by_name.get("deadline-ms", "")),
         last_event_id=value_by_name.get("last-event-id", ""),
+        resumes=value_by_name.get("resumes", ""),
         prompt_parts=_decode_prompt_parts(value_by_name.get("prompt-prefix", "")),
         forwarded=forwarded,
     )
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -28,6 +28,7 @@
 
     ``address`` is ``IP:port``. ``started_ms`` is its start time in Unix
     milliseconds, or 0 if unknown. An engine may restart under the same id.
+    ``version`` is that of its software, or empty if unknown.
     """
 
     id: str
@@ -37,6 +38,7 @@
     slots: int = 0
     is_leaving: bool = False
     started_ms: int = 0
+    version: str = ""
 
     @property
     def run_id(self) -> str:
