--- a/tests/harness/crash_drill/drill.py
+++ b/tests/harness/crash_drill/drill.py
@@ -259,6 +259,10 @@
         await self.store.stop()
 
     def _register(self, engine: CrashableEngine) -> None:
+        self.store.put(f"servers/{engine.id}", self.record_of(engine))
+
+    def record_of(self, engine: CrashableEngine) -> dict:
+        """Return the store record of an engine."""
         record = {
             "service": "calls",
             "address": engine.address,
@@ -268,7 +272,7 @@
         }
         if self.settings.returns is not Return.SAME_ID_UNDATED:
             record["born"] = engine.started_ms
-        self.store.put(f"servers/{engine.id}", record)
+        return record
 
     async def _keep_engine(self, engine: CrashableEngine) -> None:
         """Let an ended engine return, and its record expire meanwhile."""
