Let a stream go on only at the engine version that began it

Cause: an engine was taken for as good as any other of its service. Within one answer the gateway resumed a broken stream anywhere; a caller that took its stream up again was sent anywhere, since Resumes wasn't read and only the VM that had passed the first event on could have known the version. Class of fault: two things taken for alike because they share a name (here the service). Found elsewhere: a route that is split among services drew the service anew for each try; a stream that is taken up again now stays at the service that began it, too.

Change: an attempt that follows the first event, and a caller's that takes a stream up, may use only engines of the version that began it. VMs tell one another with their digests which version began which stream, eight bytes each, for 30 s; a VM that links up gets all of them, so it needn't have lived then. When a stream breaks, the peers are told within 30 ms, before its caller can be back. Where nothing fits, the answer ends or is refused at once with the reason. A stream of unknown origin goes on while its service has had one version only for those 30 s, and is refused otherwise.

Without network 2, 9, and 60 VMs know each of 20 streams, VMs that restart included.

Why it works: the version goes with the stream, not with the VM, and no path to an engine is left that doesn't ask for it.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -30,6 +30,8 @@
 from dotterelpitch.gateway.settings_reload import SettingsReloader
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.store_watcher import StoreWatcher
+from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
+from dotterelpitch.gateway.stream_resumption import StreamResumption
 from dotterelpitch.platform.store import StoreClient
 from dotterelpitch.platform.vm_settings import VmSettings
 from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
@@ -42,6 +44,7 @@
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.fleet_retry_budget import FleetRetryBudget
 from dotterelpitch.routing.route_table import CallerLimits
+from dotterelpitch.routing.stream_origins import StreamOrigins
 from dotterelpitch.telemetry.events import Event, log_event
 from dotterelpitch.upstream.pool import SWEEP_INTERVAL_SECONDS, ConnectionPool
 
@@ -75,6 +78,8 @@
             self._clock, log_limit_change
         )
         self.rate_limits = FleetRateLimits(self._clock)
+        self.stream_origins = StreamOrigins(self._clock)
+        stream_resumption = StreamResumption(self.state.directory, self.stream_origins)
         self.pool = ConnectionPool(self._clock)
         engine_tracker = self.engine_tracker
         self.state.directory.on_restart = engine_tracker.record_engine_restart
@@ -102,8 +107,10 @@
                 self.concurrency_limiter,
                 self.crash_watcher,
                 self.rate_limits.registry,
+                stream_resumption,
             ),
             self.rate_limits,
+            stream_resumption,
         )
         self.links = LinkTable()
         self.metrics = GatewayMetrics(
@@ -196,6 +203,7 @@
             RateLimitExchange(
                 self._clock, self.state, self._topology, fleet, self.rate_limits
             ),
+            StreamOriginExchange(self._topology, self.stream_origins),
             self.loads,
             self.retry_budget,
             self._settings.digest_seconds,
--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -10,6 +10,7 @@
 from dotterelpitch.gateway.call import Call, ResponseWriter
 from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
+from dotterelpitch.gateway.stream_resumption import StreamResumption
 from dotterelpitch.platform.headers import (
     EngineCall,
     Headers,
@@ -91,12 +92,14 @@
         concurrency_limiter: AdaptiveConcurrencyLimiter,
         crash_watcher: CrashWatcher,
         rate_limits: RateLimitRegistry,
+        stream_resumption: StreamResumption,
     ) -> None:
         self._clock = clock
         self._pool = pool
         self._concurrency_limiter = concurrency_limiter
         self._crash_watcher = crash_watcher
         self._rate_limits = rate_limits
+        self._stream_resumption = stream_resumption
 
     async def run(
         self,
@@ -128,6 +131,7 @@
             self._concurrency_limiter,
             self._crash_watcher,
             self._rate_limits,
+            self._stream_resumption,
             call,
             engine,
         )
@@ -281,6 +285,7 @@
                 last_at = now
                 observer.output_received()
                 if not writer.is_started:
+                    observer.stream_began()
                     await writer.start(head.status, _stream_headers(head))
                 await writer.write(complete_events)
             timeout_s = self._seconds_until(limits.deadline)
--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -8,6 +8,7 @@
 
 from dotterelpitch.gateway.call import Call
 from dotterelpitch.gateway.crash_watcher import CrashWatcher
+from dotterelpitch.gateway.stream_resumption import StreamResumption
 from dotterelpitch.platform.headers import ReportedLoad, ResponseClass
 from dotterelpitch.routing.concurrency_limiter import (
     AdaptiveConcurrencyLimiter,
@@ -37,6 +38,7 @@
     _concurrency_limiter: AdaptiveConcurrencyLimiter
     _crash_watcher: CrashWatcher
     _rate_limits: RateLimitRegistry
+    _stream_resumption: StreamResumption
     _call: Call
     _engine: Engine
     _request: InFlightRequest = field(init=False)
@@ -90,6 +92,10 @@
         self._crash_watcher.output_received(self._attempt)
         self._concurrency_limiter.response_started(self._request, self._is_crowded)
 
+    def stream_began(self) -> None:
+        """Record that the engine has sent the first event of a stream."""
+        self._stream_resumption.record(self._call, self._engine.version)
+
     def answered(self, is_end_certain: bool) -> None:
         """Record that the response is complete.
 
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -2,7 +2,7 @@
 
 import random
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.attempt import AttemptLimits, AttemptRunner
@@ -12,6 +12,10 @@
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
 from dotterelpitch.gateway.refusals import refuse
 from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.gateway.stream_resumption import (
+    NO_ENGINE_OF_VERSION_REASON,
+    StreamResumption,
+)
 from dotterelpitch.routing.attempt_outcomes import (
     RETRY_RULE_BY_OUTCOME,
     AttemptOutcome,
@@ -69,6 +73,7 @@
     ``unreachable_domains`` are failure domains in which an engine was unreachable.
     ``sent_count`` and ``unsent_count`` count the attempts whose request was and was
     not sent. ``may_have_run`` is whether an engine may have run the request.
+    ``version`` is the engine version that has begun the stream, or None before that.
     """
 
     events: EventStreamFilter
@@ -79,6 +84,8 @@
     sent_count: int = 0
     unsent_count: int = 0
     may_have_run: bool = False
+    version: str | None = None
+    is_delivered: bool = False
     last_result: AttemptResult | None = None
 
 
@@ -96,6 +103,7 @@
         concurrency_limiter: AdaptiveConcurrencyLimiter,
         attempt_runner: AttemptRunner,
         rate_limits: FleetRateLimits,
+        stream_resumption: StreamResumption,
     ) -> None:
         self._clock = clock
         self._state = state
@@ -106,22 +114,41 @@
         self._concurrency_limiter = concurrency_limiter
         self._attempt_runner = attempt_runner
         self._rate_limits = rate_limits
+        self._stream_resumption = stream_resumption
 
     async def forward(self, call: Call, writer: ResponseWriter) -> None:
         """Send the caller an engine's response, or a refusal with its reason."""
-        if reason := self._refusal_reason(call):
+        resumption = self._stream_resumption.resolve(call)
+        if resumption.service != call.service:
+            call = evolve(call, service=resumption.service)
+        reason = resumption.refusal_reason or self._refusal_reason(call)
+        if reason:
             remaining_s = call.deadline - self._clock.monotonic()
             final = FinalResponse.REFUSAL
             await refuse(writer, final, call.request_id, reason, remaining_s)
             return
         self._retry_budget.request_started(call.service)
-        progress = CallProgress(EventStreamFilter(call.headers.last_event_id))
+        progress = CallProgress(
+            EventStreamFilter(call.headers.last_event_id), version=resumption.version
+        )
+        try:
+            await self._forward(call, progress, writer)
+        finally:
+            if writer.is_started and not progress.is_delivered:
+                # The caller may take the stream up again at another VM now.
+                self._state.notify_peers()
+
+    async def _forward(
+        self, call: Call, progress: CallProgress, writer: ResponseWriter
+    ) -> None:
+        """Make attempts until one is delivered or none may follow."""
         while True:
             choice = self._choose(call, progress)
             if choice is None:
                 break
             result = await self._attempt(call, choice, progress, writer)
             if result.outcome is AttemptOutcome.DELIVERED:
+                progress.is_delivered = True
                 self._log_end(call, writer, "completed", result, choice.engine.id)
                 return
             if not self._may_retry(call, progress):
@@ -194,11 +221,14 @@
             progress.tried_ids,
             progress.unreachable_domains,
             may_probe,
+            progress.version,
         )
         if choice is not None or not progress.failed_ids:
             return choice
         excluded_ids = [i for i in progress.tried_ids if i not in progress.failed_ids]
-        return self._chooser.choose(call.service, call.shared_parts, excluded_ids)
+        return self._chooser.choose(
+            call.service, call.shared_parts, excluded_ids, version=progress.version
+        )
 
     async def _attempt(
         self,
@@ -219,6 +249,8 @@
             self._loads.request_ended(engine_id)
         self._engine_tracker.record_attempt(call, choice, result)
         progress.last_result = result
+        if writer.is_started and progress.version is None:
+            progress.version = choice.engine.version
         if result.failure is FailureKind.UNREACHABLE:
             progress.unreachable_domains.add(choice.engine.failure_domain)
         if result.outcome is AttemptOutcome.FAILED:
@@ -298,12 +330,16 @@
             self._log_end(call, writer, "failed", failure)
             await writer.send_response(failure.status, failure.headers, failure.body)
             return
-        reason = last_result.reason if last_result else self._missing_reason(call)
+        reason = (
+            last_result.reason if last_result else self._missing_reason(call, progress)
+        )
         remaining_s = call.deadline - self._clock.monotonic()
         await refuse(writer, final, call.request_id, reason, remaining_s)
 
-    def _missing_reason(self, call: Call) -> str:
+    def _missing_reason(self, call: Call, progress: CallProgress) -> str:
         """Return why no engine was chosen for a call."""
+        if progress.version is not None:
+            return NO_ENGINE_OF_VERSION_REASON
         if self._state.directory.usable(call.service):
             return RATE_LIMIT_REASON
         return NO_ENGINE_REASON
--- a/dotterelpitch/gateway/ingress.py
+++ b/dotterelpitch/gateway/ingress.py
@@ -176,7 +176,7 @@
             config,
             route,
             account,
-            _choose_service(route, headers.request_id),
+            _choose_service(route, headers.resumes or headers.request_id),
             started,
             started + min(budget_s, route.timeout_s),
         )
--- a/dotterelpitch/gateway/peer_links.py
+++ b/dotterelpitch/gateway/peer_links.py
@@ -16,6 +16,7 @@
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
 from dotterelpitch.protocol.connection import dial
 from dotterelpitch.protocol.gateway_messages import (
     FetchRecords,
@@ -24,6 +25,7 @@
     LinkOpened,
     OpenLink,
     RateLimitDigest,
+    StreamOriginDigest,
 )
 from dotterelpitch.protocol.handshake import Identity
 from dotterelpitch.protocol.server import HandlerTable
@@ -58,6 +60,7 @@
         records: RecordExchange,
         reader_selection: ReaderSelection,
         rate_limits: RateLimitExchange,
+        stream_origins: StreamOriginExchange,
         loads: FleetLoads,
         retry_budget: FleetRetryBudget,
         digest_period_s: float,
@@ -72,6 +75,7 @@
         self._records = records
         self._reader_selection = reader_selection
         self._rate_limits = rate_limits
+        self._stream_origins = stream_origins
         self._loads = loads
         self._retry_budget = retry_budget
         self._digest_period_s = digest_period_s
@@ -180,6 +184,8 @@
                     self._apply_digest(link, message)
                 elif isinstance(message, RateLimitDigest):
                     self._rate_limits.apply(link, message)
+                elif isinstance(message, StreamOriginDigest):
+                    self._stream_origins.apply(link, message)
                 else:
                     return
         finally:
@@ -209,5 +215,6 @@
             link.list_sent = vms
             link.list_sent_at = now
         connection.write(link.stream.number, self._digests.make(link))
-        if (rate_limits := self._rate_limits.make(link)) is not None:
-            connection.write(link.stream.number, rate_limits)
+        for exchange in (self._rate_limits, self._stream_origins):
+            if (digest := exchange.make(link)) is not None:
+                connection.write(link.stream.number, digest)
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -24,7 +24,8 @@
     leaves the current config in force; an invalid engine record removes the engine.
 
     ``revision`` is the store revision up to which all changes are applied.
-    ``changed`` is set, and replaced by a new event, on each new revision or config;
+    ``changed`` is set, and replaced by a new event, on each new revision or config and
+    by ``notify_peers``;
     ``has_config`` is set with the first config.
     """
 
@@ -130,9 +131,10 @@
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if revision > self.revision:
             self.revision = revision
-            self._notify_change()
+            self.notify_peers()
 
-    def _notify_change(self) -> None:
+    def notify_peers(self) -> None:
+        """Let the peers be told at once of what they lack."""
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -153,7 +155,7 @@
         self.config = config
         self.record_by_key[CONFIG_KEY] = record.value
         self.has_config.set()
-        self._notify_change()
+        self.notify_peers()
         log_event(
             Event.CONFIG_IN_FORCE,
             version=config.version,
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -10,7 +10,9 @@
 
 # The first link version whose gateways understand RateLimitDigest.
 RATE_LIMITS_LINK_VERSION = 1
-LINK_VERSION = RATE_LIMITS_LINK_VERSION
+# The first one whose gateways understand StreamOriginDigest.
+STREAM_ORIGINS_LINK_VERSION = 2
+LINK_VERSION = STREAM_ORIGINS_LINK_VERSION
 """The link version of this program."""
 
 
@@ -146,6 +148,25 @@
     contact_share: float = 1.0
 
 
+@frozen
+class StreamsBegun:
+    """Streams that a software version of a service's engines has begun.
+
+    ``packed_hashes`` holds a hash of account and request id for each, 8 bytes long.
+    """
+
+    service: str
+    version: str
+    packed_hashes: bytes
+
+
+@message(79)
+class StreamOriginDigest:
+    """Streams that have begun since the last digest; all recent ones in the first."""
+
+    begun: list[StreamsBegun] = field(factory=list)
+
+
 @message(77)
 class FleetList:
     """The gateways that the sender reports as running; replaces its previous list."""
--- a/dotterelpitch/routing/engine_choice.py
+++ b/dotterelpitch/routing/engine_choice.py
@@ -91,6 +91,7 @@
         excluded: Collection[str] = (),
         unreachable_domains: Collection[str] = (),
         may_probe: bool = False,
+        version: str | None = None,
     ) -> EngineChoice | None:
         """Return the choice for a request, or None if no engine can take it.
 
@@ -99,11 +100,16 @@
         that were already tried for the request. ``unreachable_domains`` are failure
         domains in which this request has found an engine unreachable; their
         engines are chosen last. ``may_probe`` allows the request to go to a
-        suspect engine to find out whether it works again. The choice counts against
+        suspect engine to find out whether it works again. ``version`` is the only
+        software version that may be chosen, or None for any. The choice counts against
         the engine's rate limit.
         """
         usable = self._directory.usable(service)
-        engines = [engine for engine in usable if engine.id not in excluded]
+        engines = [
+            engine
+            for engine in usable
+            if engine.id not in excluded and version in (None, engine.version)
+        ]
         if not engines:
             return None
         share_by_id = self._traffic_shares(engines, unreachable_domains, may_probe)
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -72,6 +72,7 @@
     _departed_by_id: dict[str, tuple[float, Engine]] = field(factory=dict)
     _missing_since_by_id: dict[str, float] = field(factory=dict)
     _usable_by_service: dict[str, list[Engine]] = field(factory=dict)
+    _version_left_at: dict[tuple[str, str], float] = field(factory=dict)
 
     def put(self, engine: Engine) -> None:
         """Add an engine, or replace its entry with a newer one."""
@@ -84,6 +85,8 @@
             self._first_seen_by_id[engine.id] = self._clock.monotonic()
         if is_new_run and previous is not None and self.on_restart is not None:
             self.on_restart(previous)
+        if previous is not None:
+            self._record_version_left(previous)
         if engine.is_leaving:
             now = self._clock.monotonic()
             self._leaving_since_by_id.setdefault(engine.id, now)
@@ -102,6 +105,7 @@
         engine = self.engine_by_id.pop(engine_id, None)
         if engine is None:
             return
+        self._record_version_left(engine)
         self._first_seen_by_id.pop(engine_id, None)
         self._leaving_since_by_id.pop(engine_id, None)
         if not engine.is_leaving:
@@ -154,6 +158,24 @@
             self._usable_by_service[service] = engines
         return engines
 
+    def recent_versions(self, service: str, within_s: float) -> set[str]:
+        """Return the software versions of the engines of the last ``within_s`` seconds.
+
+        Leaving engines and those that are gone meanwhile are included.
+        """
+        oldest = self._clock.monotonic() - within_s
+        versions = {
+            engine.version
+            for engine in self.engine_by_id.values()
+            if engine.service == service
+        }
+        for (left_service, version), at in list(self._version_left_at.items()):
+            if at < oldest:
+                del self._version_left_at[left_service, version]
+            elif left_service == service:
+                versions.add(version)
+        return versions
+
     def cache_holders(self, service: str, settled_s: float) -> list[Engine]:
         """Return the engines whose caches may hold chats from ``settled_s`` ago.
 
@@ -192,6 +214,10 @@
         self._expire_departed(self._clock.monotonic())
         return self.engine_by_id.keys() | self._departed_by_id.keys()
 
+    def _record_version_left(self, engine: Engine) -> None:
+        now = self._clock.monotonic()
+        self._version_left_at[engine.service, engine.version] = now
+
     def _expire_departed(self, now: float) -> None:
         for engine_id, (at, _) in list(self._departed_by_id.items()):
             if at < now - DEREGISTERED_RUN_SECONDS:
--- a/tests/harness/simulated_gateways.py
+++ b/tests/harness/simulated_gateways.py
@@ -16,9 +16,11 @@
 from dotterelpitch.gateway.rate_limit_exchange import RateLimitExchange
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
 from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
+from dotterelpitch.routing.stream_origins import StreamOrigins
 
 PERIOD_SECONDS = 0.25
 FAST_LINK_MBPS = 200
@@ -61,6 +63,10 @@
         self.rate_limit_exchange = RateLimitExchange(
             self.clock, self.state, self.topology, self.fleet, self.rate_limits
         )
+        self.stream_origins = StreamOrigins(self.clock)
+        self.stream_origin_exchange = StreamOriginExchange(
+            self.topology, self.stream_origins
+        )
         self.digests = DigestExchange(
             self.vm.name,
             self.clock,
@@ -177,6 +183,9 @@
         rate_limits = sender.rate_limit_exchange.make(sender_link)
         if rate_limits is not None:
             receiver.rate_limit_exchange.apply(receiver_link, rate_limits)
+        origins = sender.stream_origin_exchange.make(sender_link)
+        if origins is not None:
+            receiver.stream_origin_exchange.apply(receiver_link, origins)
 
 
 def make_fleet(count, fast_links=6):
