Know the rate limits by engine id, and none of an earlier run

A peer that hasn't heard of an engine's restart can't bring the limit of its earlier run back any more (test added; before, both runs were kept side by side and the later one counted, so nothing was seen).

--- a/dotterelpitch/gateway/rate_limit_exchange.py
+++ b/dotterelpitch/gateway/rate_limit_exchange.py
@@ -101,7 +101,7 @@
     def _report(self, limit: ObservedLimit) -> RateLimitReport:
         return RateLimitReport(
             limit.engine_id,
-            limit.run_id,
+            limit.started_ms,
             limit.per_second,
             self._age_ms(limit.named_at),
             self._age_ms(limit.absent_at),
@@ -110,7 +110,7 @@
     def _observed(self, report: RateLimitReport) -> ObservedLimit:
         return ObservedLimit(
             report.engine,
-            report.engine_run,
+            report.started_ms,
             report.per_second,
             self._time(report.named_age_ms),
             self._time(report.absent_age_ms),
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -98,14 +98,14 @@
 
 @frozen
 class RateLimitReport:
-    """The rate limit that a run of an engine has named.
+    """The rate limit that the run of an engine named that began at ``started_ms``.
 
     ``named_age_ms`` is how long ago it did last, and ``absent_age_ms`` how long ago a
     response named none, or -1.
     """
 
     engine: str
-    engine_run: str
+    started_ms: int
     per_second: float
     named_age_ms: int
     absent_age_ms: int
--- a/dotterelpitch/routing/rate_limit_registry.py
+++ b/dotterelpitch/routing/rate_limit_registry.py
@@ -24,12 +24,13 @@
 class ObservedLimit:
     """What is known of the limit of one run of an engine.
 
+    The run is that which started at ``started_ms`` (``Engine.started_ms``).
     ``per_second`` is the limit last named, at ``named_at``; ``absent_at`` is when a
     response last named none. Both are times of the monotonic clock, in seconds.
     """
 
     engine_id: str
-    run_id: str
+    started_ms: int
     per_second: float
     named_at: float
     absent_at: float = float("-inf")
@@ -53,28 +54,33 @@
     """
 
     _clock: Clock
-    _observed_by_run: dict[str, ObservedLimit] = field(factory=dict)
-    _reported_by_run: dict[str, ObservedLimit] = field(factory=dict)
-    _update_by_run: dict[str, int] = field(factory=dict)
+    _observed_by_id: dict[str, ObservedLimit] = field(factory=dict)
+    _reported_by_id: dict[str, ObservedLimit] = field(factory=dict)
+    _update_by_id: dict[str, int] = field(factory=dict)
     _update_count: int = 0
 
     def record_response(self, engine: Engine, per_second: float | None) -> None:
         """Record that a response has named this limit, or none."""
+        latest = self._observed_by_id.get(engine.id)
+        if latest is not None and latest.started_ms > engine.started_ms:
+            return
         now = self._clock.monotonic()
-        known = self._observed_by_run.get(engine.run_id)
+        known = self._known_run(engine.id, engine.started_ms)
         if per_second is not None:
             absent_at = known.absent_at if known else float("-inf")
             self._update(
-                ObservedLimit(engine.id, engine.run_id, per_second, now, absent_at)
+                ObservedLimit(engine.id, engine.started_ms, per_second, now, absent_at)
             )
         elif known is not None:
             self._update(evolve(known, absent_at=now))
 
     def merge(self, peer: str, limits: Iterable[ObservedLimit]) -> None:
-        """Add what a peer has observed."""
+        """Add what a peer has observed, unless it is of an earlier run."""
         for limit in limits:
-            known = self._observed_by_run.get(limit.run_id)
-            if known is not None:
+            known = self._observed_by_id.get(limit.engine_id)
+            if known is not None and known.started_ms > limit.started_ms:
+                continue
+            if known is not None and known.started_ms == limit.started_ms:
                 newest = max(known, limit, key=lambda observed: observed.named_at)
                 absent_at = max(known.absent_at, limit.absent_at)
                 limit = evolve(newest, absent_at=absent_at)
@@ -82,59 +88,59 @@
 
     def limit(self, engine: Engine) -> float | None:
         """Return the limit in force of an engine, in requests per second, or None."""
-        observed = self._observed_by_run.get(engine.run_id)
+        observed = self._known_run(engine.id, engine.started_ms)
         if observed is None or not observed.is_in_force:
             return None
         return observed.per_second
 
     def is_empty(self) -> bool:
         """Return whether no engine that is known has named a limit."""
-        return not self._observed_by_run
+        return not self._observed_by_id
 
     def in_force(self) -> list[ObservedLimit]:
         """Return the limits in force."""
-        return [o for o in self._observed_by_run.values() if o.is_in_force]
+        return [o for o in self._observed_by_id.values() if o.is_in_force]
 
     def updates_after(self, count: int) -> tuple[int, list[ObservedLimit]]:
         """Return the total update count, and what has changed after the first ones."""
         changed = [
-            self._observed_by_run[run_id]
-            for run_id, update in self._update_by_run.items()
+            self._observed_by_id[engine_id]
+            for engine_id, update in self._update_by_id.items()
             if update > count
         ]
         return self._update_count, changed
 
     def retain(self, engine_ids: set[str]) -> None:
         """Remove the limits of all engines that aren't in ``engine_ids``."""
-        gone = [
-            run_id
-            for run_id, observed in self._observed_by_run.items()
-            if observed.engine_id not in engine_ids
-        ]
-        for run_id in gone:
-            del self._observed_by_run[run_id]
-            del self._reported_by_run[run_id]
-            del self._update_by_run[run_id]
+        for engine_id in self._observed_by_id.keys() - engine_ids:
+            del self._observed_by_id[engine_id]
+            del self._reported_by_id[engine_id]
+            del self._update_by_id[engine_id]
+
+    def _known_run(self, engine_id: str, started_ms: int) -> ObservedLimit | None:
+        observed = self._observed_by_id.get(engine_id)
+        is_same_run = observed is not None and observed.started_ms == started_ms
+        return observed if is_same_run else None
 
     def _update(self, observed: ObservedLimit, peer: str = "") -> None:
-        run_id = observed.run_id
-        known = self._observed_by_run.get(run_id)
-        self._observed_by_run[run_id] = observed
+        engine_id = observed.engine_id
+        known = self._observed_by_id.get(engine_id)
+        self._observed_by_id[engine_id] = observed
         _log_change(known, observed, peer)
         if self._is_news(observed):
-            self._reported_by_run[run_id] = observed
+            self._reported_by_id[engine_id] = observed
             self._update_count += 1
-            self._update_by_run[run_id] = self._update_count
+            self._update_by_id[engine_id] = self._update_count
 
     def _is_news(self, observed: ObservedLimit) -> bool:
         """Return whether the peers must be told of an observation."""
-        reported = self._reported_by_run.get(observed.run_id)
-        if reported is None:
+        reported = self._reported_by_id.get(observed.engine_id)
+        if reported is None or reported.started_ms != observed.started_ms:
             return True
         if _value(reported) != _value(observed):
             return True
-        named_at = reported.named_at + REFRESH_SECONDS
-        return observed.is_in_force and observed.named_at >= named_at
+        refresh_at = reported.named_at + REFRESH_SECONDS
+        return observed.is_in_force and observed.named_at >= refresh_at
 
 
 def _value(observed: ObservedLimit | None) -> float | None:
@@ -150,7 +156,7 @@
     log_event(
         Event.RATE_LIMIT_CHANGED,
         engine=after.engine_id,
-        run=after.run_id,
+        started_ms=after.started_ms,
         before=_value(before),
         after=_value(after),
         peer=peer,
--- a/tests/test_rate_limit_registry.py
+++ b/tests/test_rate_limit_registry.py
@@ -72,11 +72,20 @@
     clock = ManualClock()
     registry = RateLimitRegistry(clock)
     registry.record_response(ENGINE, 3.0)
-    run_id = ENGINE.run_id
-    registry.merge("vm2", [ObservedLimit("e1", run_id, 1.0, named_at, absent_at)])
+    limit = ObservedLimit("e1", ENGINE.started_ms, 1.0, named_at, absent_at)
+    registry.merge("vm2", [limit])
     assert registry.limit(ENGINE) == expected
 
 
+# Guards against: a peer that hasn't heard of a restart brings the old limit back.
+def test_limit_of_an_earlier_run_is_ignored():
+    registry = RateLimitRegistry(ManualClock(10.0))
+    registry.record_response(RESTARTED, 3.0)
+    registry.merge("vm2", [ObservedLimit("e1", ENGINE.started_ms, 1.0, 11.0)])
+    registry.record_response(ENGINE, 1.0)
+    assert registry.limit(RESTARTED) == 3.0
+
+
 def test_peers_are_told_of_changes_and_now_and_then_of_the_same_limit():
     clock = ManualClock()
     registry = RateLimitRegistry(clock)
