Let the soak's engines name rate limits

The soak has as a fault what the incident taught: half of its engines name limits of 0.5 to 8 a second for 8 s. Checked is the sum of arrivals from VMs without a fault.

--- a/tests/harness/gateway_soak/checks.py
+++ b/tests/harness/gateway_soak/checks.py
@@ -1,9 +1,11 @@
 """Checks of the gateway's guarantees against what callers and engines recorded."""
 
+from bisect import bisect_right
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
 from tests.harness.crash_drill.drill import (
+    CONTACT_SECONDS,
     MAX_CRASHES_BEFORE_STOP,
     MAX_LATE_ARRIVALS,
     STOP_SECONDS,
@@ -28,6 +30,12 @@
     Run,
     SentRequest,
 )
+from tests.harness.rate_drill import (
+    RATE_FACTOR,
+    RATE_SLACK_REQUESTS,
+    TOLD_SECONDS,
+    WINDOW_SECONDS,
+)
 
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 RETRY_WINDOW_SECONDS = 10.0
@@ -195,6 +203,29 @@
             yield f"{request_id} was refused as if it crashed engines"
 
 
+def engines_get_no_more_than_their_limit(history: History) -> Violations:
+    """No window brings an engine much more than the rate limit that it names.
+
+    Requests of VMs that had a fault shortly before aren't counted.
+    """
+    vm_by_id = {sent.id: sent.vm for sent in history.sent}
+    for limit in history.limits:
+        counted = [
+            run.at
+            for run in history.runs
+            if run.engine == limit.engine
+            and limit.began + TOLD_SECONDS < run.at <= limit.ended
+            and run.id in vm_by_id
+            and history.is_vm_fault_free(vm_by_id[run.id], run.at, run.at)
+        ]
+        allowed = RATE_FACTOR * WINDOW_SECONDS * limit.per_second + RATE_SLACK_REQUESTS
+        for number, until in enumerate(counted, start=1):
+            count = number - bisect_right(counted, until - WINDOW_SECONDS)
+            if until >= limit.began + CONTACT_SECONDS and count > allowed:
+                yield f"{limit.engine} got {count} requests in 4 s of {allowed:.0f}"
+                break
+
+
 def work_stops_when_callers_disconnect(history: History) -> Violations:
     """Engines stop soon after a caller disconnects from a fault-free gateway.
 
@@ -272,6 +303,7 @@
     retries_stay_within_budget,
     crashing_requests_stop,
     only_crashing_requests_are_banned,
+    engines_get_no_more_than_their_limit,
     work_stops_when_callers_disconnect,
     planned_stops_cut_no_requests,
     answers_meet_their_deadline,
--- a/tests/harness/gateway_soak/engine.py
+++ b/tests/harness/gateway_soak/engine.py
@@ -47,8 +47,9 @@
     """An engine behind a fault proxy.
 
     ``failure_mode`` is one of ``faults.FAILURE_MODES`` while the engine fails some
-    of its requests, and empty otherwise. ``on_crash`` is called when a request crashes
-    the engine.
+    of its requests, and empty otherwise. ``rate_limit`` is what it names in its
+    answers, in requests per second, or None. ``on_crash`` is called when a request
+    crashes the engine.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self.failure_mode = ""
         self._history = history
         self._random = random.Random(engine_id)
+        self.rate_limit: float | None = None
         self._server = ScriptedEngine(engine_id, self._handle)
         self.proxy: FaultProxy | None = None
 
@@ -137,7 +139,7 @@
         self, exchange: EngineExchange, request_id: str, failure_mode: str
     ):
         if failure_mode == "errors":
-            exchange.write_head("500 Error", "Content-Length: 0")
+            exchange.write_head("500 Error", "Content-Length: 0", *self._limit_lines())
             return
         if exchange.target.startswith(("/stream", "/resumable")):
             await self._stream(exchange, request_id, failure_mode)
@@ -149,10 +151,12 @@
             return
         body = plain_body(request_id)
         if ends_with_connection(request_id):
-            _write_head(exchange, request_id, "Connection: close")
+            _write_head(exchange, request_id, "Connection: close", *self._limit_lines())
             self._end_with_connection(exchange, body, failure_mode == "cut")
             return
-        _write_head(exchange, request_id, f"Content-Length: {len(body)}")
+        _write_head(
+            exchange, request_id, f"Content-Length: {len(body)}", *self._limit_lines()
+        )
         if failure_mode == "cut":
             exchange.writer.write(body[: len(body) // 2])
             exchange.writer.close()
@@ -161,6 +165,11 @@
         if failure_mode == "extra":
             exchange.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
 
+    def _limit_lines(self) -> list[str]:
+        if self.rate_limit is None:
+            return []
+        return [f"Server-Limit: {self.rate_limit}"]
+
     @staticmethod
     def _end_with_connection(
         exchange: EngineExchange, body: bytes, is_cut: bool
@@ -181,7 +190,8 @@
         is_chunked = not ends_with_connection(request_id)
         framing = "Transfer-Encoding: chunked" if is_chunked else "Connection: close"
         write = exchange.write_chunk if is_chunked else exchange.writer.write
-        _write_head(exchange, request_id, "Content-Type: text/event-stream", framing)
+        lines = ["Content-Type: text/event-stream", framing, *self._limit_lines()]
+        _write_head(exchange, request_id, *lines)
         breaks_at = (
             self._random.randint(first, last) if failure_mode in ("lost", "cut") else 0
         )
--- a/tests/harness/gateway_soak/faults.py
+++ b/tests/harness/gateway_soak/faults.py
@@ -6,7 +6,13 @@
 
 from tests.harness.gateway_soak.engine import SoakEngine
 from tests.harness.gateway_soak.fleet import DRAIN_SECONDS, SoakFleet, SoakVm
-from tests.harness.gateway_soak.history import ENGINES, PART_PREFIX, PEERS, STORE
+from tests.harness.gateway_soak.history import (
+    ENGINES,
+    PART_PREFIX,
+    PEERS,
+    STORE,
+    LimitSpan,
+)
 from tests.harness.gateway_soak.traffic import Traffic
 from tests.harness.proxy import Direction
 from tests.harness.waiting import pause
@@ -15,6 +21,8 @@
 # What crashes engines comes for so long, with this time between.
 CRASH_SECONDS = 8.0
 CRASH_INTERVAL_SECONDS = 0.4
+# Engines name a rate limit for so long; the bound holds after some seconds only.
+LIMIT_SECONDS = 8.0
 FAILURE_MODES = ("errors", "lost", "cut", "extra", "slow")
 
 
@@ -53,6 +61,7 @@
             self.reset_engine,
             self.silence_engine,
             self.release_engine,
+            self.limit_engines,
             self.crash_engines,
             self.crash_engines_by_part,
             self.change_config,
@@ -247,6 +256,22 @@
         await engine.stop()
         span.ended = self._now()
 
+    async def limit_engines(self, seconds: float) -> None:
+        """Let half of the engines without a rate limit name one, each its own."""
+        engines = list(self._fleet.engine_by_id.values())
+        unlimited = [engine for engine in engines if engine.rate_limit is None]
+        limited = self._random.sample(unlimited, len(unlimited) // 2)
+        spans = []
+        for engine in limited:
+            engine.rate_limit = round(self._random.uniform(0.5, 8.0), 2)
+            spans.append(LimitSpan(engine.id, engine.rate_limit, self._now()))
+        self._fleet.history.limits += spans
+        await pause(LIMIT_SECONDS)
+        for engine in limited:
+            engine.rate_limit = None
+        for span in spans:
+            span.ended = self._now()
+
     async def crash_engines(self, seconds: float) -> None:
         """Send one content that crashes engines again and again, at any VM."""
         await self._keep_sending(self._traffic.send_crashing, "content")
--- a/tests/harness/gateway_soak/history.py
+++ b/tests/harness/gateway_soak/history.py
@@ -82,6 +82,16 @@
         return self.fault.startswith(PART_PREFIX)
 
 
+@attrs.define
+class LimitSpan:
+    """The time for which an engine names a rate limit, in requests per second."""
+
+    engine: str
+    per_second: float
+    began: float
+    ended: float = float("inf")
+
+
 @attrs.define
 class FaultSpan:
     """The duration of a fault of a VM, the store, the engines, or the peer links.
@@ -129,6 +139,7 @@
     exit_code_by_stop: dict[str, int] = attrs.field(factory=dict)
     unexpected_exits: list[str] = attrs.field(factory=list)
     crash_arrivals: list[CrashArrival] = attrs.field(factory=list)
+    limits: list[LimitSpan] = attrs.field(factory=list)
     banned_ids: list[str] = attrs.field(factory=list)
     final_served_share: float = 0.0
 
