Let the soak's engines have several versions

Each engine of the soak has one of three versions, another one perhaps after a restart under its id, and no stream may hold events of two. Callers there don't take streams up again; the drill does.

--- a/tests/harness/gateway_soak/checks.py
+++ b/tests/harness/gateway_soak/checks.py
@@ -226,6 +226,13 @@
                 break
 
 
+def streams_hold_one_version(history: History) -> Violations:
+    """No stream holds events of two engine versions."""
+    for sent in history.sent:
+        if len(sent.versions) > 1:
+            yield f"{sent.id} at {sent.vm} has events of {sorted(sent.versions)}"
+
+
 def work_stops_when_callers_disconnect(history: History) -> Violations:
     """Engines stop soon after a caller disconnects from a fault-free gateway.
 
@@ -304,6 +311,7 @@
     crashing_requests_stop,
     only_crashing_requests_are_banned,
     engines_get_no_more_than_their_limit,
+    streams_hold_one_version,
     work_stops_when_callers_disconnect,
     planned_stops_cut_no_requests,
     answers_meet_their_deadline,
--- a/tests/harness/gateway_soak/engine.py
+++ b/tests/harness/gateway_soak/engine.py
@@ -16,6 +16,8 @@
 FAILURE_SHARE = 0.3
 # The ids of requests that crash engines: this, the fault's name, VM, and number.
 CRASH_ID_PREFIX = "crash"
+VERSION_FIELD = "version"
+VERSIONS = ("v1", "v1.1", "v2")
 
 
 def seal(request_id: str, body: bytes) -> str:
@@ -38,9 +40,12 @@
     return sum(request_id.encode()) % 7 == 0
 
 
-def event(request_id: str, number: int) -> bytes:
-    """Return one event of a stream."""
-    return f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
+def event(request_id: str, number: int, version: str = "") -> bytes:
+    """Return one event of a stream, which names the engine's version, if any."""
+    lines = [f"id: {number}", f"data: {request_id}/{number}"]
+    if version:
+        lines.append(f"{VERSION_FIELD}: {version}")
+    return "\n".join([*lines, "", ""]).encode()
 
 
 class SoakEngine:
@@ -68,6 +73,7 @@
         self.failure_mode = ""
         self._history = history
         self._random = random.Random(engine_id)
+        self.version = self._random.choice(VERSIONS)
         self.rate_limit: float | None = None
         self._server = ScriptedEngine(engine_id, self._handle)
         self.proxy: FaultProxy | None = None
@@ -98,6 +104,7 @@
             "capacity": 16,
             "call_seq": 0,
             "born": self.started_ms,
+            "version": self.version,
         }
 
     async def _handle(self, exchange: EngineExchange) -> None:
@@ -195,10 +202,11 @@
         breaks_at = (
             self._random.randint(first, last) if failure_mode in ("lost", "cut") else 0
         )
+        version = self.version
         for number in range(first, last + 1):
             if exchange.caller_left.is_set() or exchange.writer.is_closing():
                 return
-            data = event(request_id, number)
+            data = event(request_id, number, version)
             if number == breaks_at:
                 write(data[: len(data) // 2])
                 exchange.reset()
--- a/tests/harness/gateway_soak/faults.py
+++ b/tests/harness/gateway_soak/faults.py
@@ -4,7 +4,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from tests.harness.gateway_soak.engine import SoakEngine
+from tests.harness.gateway_soak.engine import VERSIONS, SoakEngine
 from tests.harness.gateway_soak.fleet import DRAIN_SECONDS, SoakFleet, SoakVm
 from tests.harness.gateway_soak.history import (
     ENGINES,
@@ -196,7 +196,7 @@
         span.ended = self._now()
 
     async def restart_engine(self, seconds: float) -> None:
-        """Restart an engine, which keeps its id and gets a later start time."""
+        """Restart an engine under its id, with a later start and any version."""
         engine = self._pick_engine()
         if engine is None:
             return
@@ -204,6 +204,7 @@
         engine.proxy.refuse()
         await pause(min(1.0, seconds))
         engine.started_ms += 1000
+        engine.version = self._random.choice(VERSIONS)
         engine.proxy.accept_again()
         self._fleet.register_engine(engine)
         span.ended = self._now()
--- a/tests/harness/gateway_soak/history.py
+++ b/tests/harness/gateway_soak/history.py
@@ -24,7 +24,7 @@
     """One request of a caller and how it ended.
 
     ``at`` and ``ended`` are monotonic times in seconds; ``error`` is empty if an
-    answer arrived.
+    answer arrived. ``versions`` are the engine versions of the events of a stream.
     """
 
     id: str
@@ -36,6 +36,7 @@
     ended: float = 0.0
     status: int = 0
     is_complete: bool = False
+    versions: set[str] = attrs.field(factory=set)
     caller_left: bool = False
     error: str = ""
 
--- a/tests/harness/gateway_soak/traffic.py
+++ b/tests/harness/gateway_soak/traffic.py
@@ -11,6 +11,7 @@
 from tests.harness.gateway_fleet import HOST
 from tests.harness.gateway_soak.engine import (
     CRASH_ID_PREFIX,
+    VERSION_FIELD,
     event,
     event_count,
     plain_body,
@@ -177,6 +178,7 @@
         """Return whether a 200 is an engine's complete answer to this request."""
         expected = plain_body(sent.id)
         expected_seal = seal(sent.id, expected)
+        body, sent.versions = _without_versions(body)
         if sent.route.startswith(("stream", "resumable")):
             numbers = range(1, event_count(sent.id) + 1)
             expected = b"".join(event(sent.id, number) for number in numbers)
@@ -186,3 +188,12 @@
             and answer.headers.get("Response-Seal") == expected_seal
             and body == expected
         )
+
+
+def _without_versions(body: bytes) -> tuple[bytes, set[str]]:
+    """Return a body without the engine versions of its events, and these."""
+    prefix = f"{VERSION_FIELD}: ".encode()
+    lines = body.split(b"\n")
+    versions = {line.removeprefix(prefix) for line in lines if line.startswith(prefix)}
+    rest = [line for line in lines if not line.startswith(prefix)]
+    return b"\n".join(rest), {version.decode() for version in versions}
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -116,6 +116,8 @@
         ),
         (checks.processes_exit_cleanly, History(exit_code_by_stop={"vm1": -9}), 1),
         (checks.processes_exit_cleanly, History(unexpected_exits=["vm1"]), 1),
+        (checks.streams_hold_one_version, History([sent(versions={"v1", "v2"})]), 1),
+        (checks.streams_hold_one_version, History([sent(versions={"v1"})]), 0),
         (
             checks.engines_get_no_more_than_their_limit,
             History([sent()], [run(at=14.0)] * 12, limits=[LimitSpan("e1", 1, 10.0)]),
