Split what a call logs and remembers from the forwarder; name the candidates of a choice

The engine choice passed five mappings from method to method; they are one value. The routes that three drills wrote out stand once.

--- /dev/null
+++ b/dotterelpitch/gateway/call_progress.py
@@ -0,0 +1,31 @@
+"""The state of one call over all of its attempts at engines."""
+
+from attrs import define, field
+
+from dotterelpitch.gateway.attempt_result import AttemptResult
+from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
+
+
+@define
+class CallProgress:
+    """State of one call over all of its attempts.
+
+    ``tried_ids`` are the engines of all attempts. ``failed_ids`` are those that
+    answered with an error, and ``failed_result`` is the last such answer.
+    ``unreachable_domains`` are failure domains in which an engine was unreachable.
+    ``sent_count`` and ``unsent_count`` count the attempts whose request was and was
+    not sent. ``may_have_run`` is whether an engine may have run the request.
+    ``version`` is the engine version that has begun the stream, or None before that.
+    """
+
+    events: EventStreamFilter
+    tried_ids: list[str] = field(factory=list)
+    failed_ids: list[str] = field(factory=list)
+    unreachable_domains: set[str] = field(factory=set)
+    failed_result: AttemptResult | None = None
+    sent_count: int = 0
+    unsent_count: int = 0
+    may_have_run: bool = False
+    version: str | None = None
+    is_delivered: bool = False
+    last_result: AttemptResult | None = None
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -2,12 +2,14 @@
 
 import random
 
-from attrs import define, evolve, field
+from attrs import evolve
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.attempt import AttemptLimits, AttemptRunner
 from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.call import Call, ResponseWriter
+from dotterelpitch.gateway.call_log import log_choice, log_end, log_failure
+from dotterelpitch.gateway.call_progress import CallProgress
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
 from dotterelpitch.gateway.refusals import refuse
@@ -54,9 +56,6 @@
 # Share of the non-retryable requests that may probe a suspect engine.
 UNSAFE_PROBE_SHARE = 0.1
 
-# A caller may send any text as the id of an earlier attempt.
-MAX_LOGGED_CHARS = 64
-
 OVERLOAD_REASON = "the engines have more work than they can do in time"
 RATE_LIMIT_REASON = "the engines take fewer requests per second than are sent"
 NO_ENGINE_REASON = "no engine is known"
@@ -64,31 +63,6 @@
 BANNED_PART_REASON = "requests with this prompt part have crashed engines"
 
 
-@define
-class CallProgress:
-    """State of one call over all of its attempts.
-
-    ``tried_ids`` are the engines of all attempts. ``failed_ids`` are those that
-    answered with an error, and ``failed_result`` is the last such answer.
-    ``unreachable_domains`` are failure domains in which an engine was unreachable.
-    ``sent_count`` and ``unsent_count`` count the attempts whose request was and was
-    not sent. ``may_have_run`` is whether an engine may have run the request.
-    ``version`` is the engine version that has begun the stream, or None before that.
-    """
-
-    events: EventStreamFilter
-    tried_ids: list[str] = field(factory=list)
-    failed_ids: list[str] = field(factory=list)
-    unreachable_domains: set[str] = field(factory=set)
-    failed_result: AttemptResult | None = None
-    sent_count: int = 0
-    unsent_count: int = 0
-    may_have_run: bool = False
-    version: str | None = None
-    is_delivered: bool = False
-    last_result: AttemptResult | None = None
-
-
 class Forwarder:
     """Chooses engines for calls and decides after each attempt whether to retry."""
 
@@ -149,7 +123,8 @@
             result = await self._attempt(call, choice, progress, writer)
             if result.outcome is AttemptOutcome.DELIVERED:
                 progress.is_delivered = True
-                self._log_end(call, writer, "completed", result, choice.engine.id)
+                now = self._clock.monotonic()
+                log_end(call, writer, "completed", result, now, choice.engine.id)
                 return
             if not self._may_retry(call, progress):
                 break
@@ -239,7 +214,7 @@
     ) -> AttemptResult:
         engine_id = choice.engine.id
         progress.tried_ids.append(engine_id)
-        self._log_choice(call, choice, progress)
+        log_choice(call, choice, progress, self._state.age_s)
         self._loads.request_started(engine_id)
         try:
             result = await self._attempt_runner.run(
@@ -263,15 +238,7 @@
             progress.sent_count += 1
         if result.outcome is not AttemptOutcome.DELIVERED:
             progress.may_have_run |= RETRY_RULE_BY_OUTCOME[result.outcome].may_have_run
-            log_event(
-                Event.ATTEMPT_FAILED,
-                request=call.request_id,
-                engine=engine_id,
-                end=result.outcome,
-                reason=result.reason,
-                started=writer.is_started,
-                last_event=progress.events.last_id,
-            )
+            log_failure(call, engine_id, progress, writer.is_started)
         return result
 
     def _limits(self, call: Call, progress: CallProgress) -> AttemptLimits:
@@ -318,7 +285,13 @@
         self, call: Call, progress: CallProgress, writer: ResponseWriter
     ) -> None:
         if writer.is_started:
-            self._log_end(call, writer, "broken-off", progress.last_result)
+            log_end(
+                call,
+                writer,
+                "broken-off",
+                progress.last_result,
+                self._clock.monotonic(),
+            )
             writer.abort()
             return
         last_result = progress.last_result
@@ -327,7 +300,7 @@
             final = final_response(last_result.outcome, progress.may_have_run)
         failure = progress.failed_result
         if failure is not None and final is not FinalResponse.TIMEOUT:
-            self._log_end(call, writer, "failed", failure)
+            log_end(call, writer, "failed", failure, self._clock.monotonic())
             await writer.send_response(failure.status, failure.headers, failure.body)
             return
         reason = (
@@ -343,56 +316,3 @@
         if self._state.directory.usable(call.service):
             return RATE_LIMIT_REASON
         return NO_ENGINE_REASON
-
-    def _log_choice(
-        self, call: Call, choice: EngineChoice, progress: CallProgress
-    ) -> None:
-        source = choice.cache_source
-        log_event(
-            Event.ATTEMPT_STARTED,
-            request=call.request_id,
-            route=call.route.name,
-            account=call.account_name,
-            engine=choice.engine.id,
-            version=choice.engine.version,
-            resumes=call.headers.resumes[:MAX_LOGGED_CHARS],
-            last_event=progress.events.last_id,
-            fingerprint=call.fingerprint,
-            parts=call.prompt_parts,
-            reason=choice.reason,
-            load=choice.load,
-            mean_load=round(choice.mean_load, 1),
-            cache_source=source.id if source else "",
-            attempt=progress.sent_count + progress.unsent_count + 1,
-            config=call.config.version,
-            engines_age_s=round(self._state.age_s, 2),
-        )
-
-    def _log_end(
-        self,
-        call: Call,
-        writer: ResponseWriter,
-        outcome: str,
-        result: AttemptResult,
-        engine_id: str = "",
-    ) -> None:
-        """Log the outcome; ``first_s`` is the time to the first byte, in seconds."""
-        now = self._clock.monotonic()
-        first_s = writer.started_at - call.started if writer.is_started else None
-        log_event(
-            Event.REQUEST_ENDED,
-            request=call.request_id,
-            route=call.route.name,
-            outcome=outcome,
-            status=result.status,
-            engine=engine_id,
-            reason=result.reason,
-            connect_s=_rounded(result.connect_s),
-            first_s=_rounded(first_s),
-            longest_pause_s=_rounded(result.longest_pause_s),
-            seconds=_rounded(now - call.started),
-        )
-
-
-def _rounded(seconds: float | None) -> float | None:
-    return None if seconds is None else round(seconds, 4)
--- a/dotterelpitch/routing/engine_choice.py
+++ b/dotterelpitch/routing/engine_choice.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from enum import StrEnum
+from functools import cached_property, partial
 
 from attrs import define, field, frozen
 
@@ -67,6 +68,46 @@
     cache_source: Engine | None = None
 
 
+@frozen
+class _Candidates:
+    """The engines that may serve a request, and what the choice among them uses.
+
+    ``share_by_id`` is the share of its normal traffic that an engine may get, from 0
+    to 1. ``limited_ids`` are the engines that name rate limits.
+    """
+
+    engine_by_id: Mapping[str, Engine]
+    load_by_id: Mapping[str, int]
+    share_by_id: Mapping[str, float]
+    limited_ids: Collection[str]
+
+    @cached_property
+    def mean_load(self) -> float:
+        """The mean load, without engines with rate limits if there are others.
+
+        Engines at their limits have little load, which says nothing of the rest.
+        """
+        loads = self.load_by_id.values()
+        if self.limited_ids and len(self.limited_ids) < len(loads):
+            loads = [n for i, n in self.load_by_id.items() if i not in self.limited_ids]
+        return sum(loads) / len(loads)
+
+    @cached_property
+    def bound(self) -> float:
+        """The load bound of an engine that gets all of its normal traffic."""
+        return LOAD_BOUND_FACTOR * self.mean_load + LOAD_BOUND_SLACK_REQUESTS
+
+    def is_within_bound(self, engine_id: str) -> bool:
+        """Return whether one more request keeps an engine within its load bound."""
+        load = self.load_by_id[engine_id] + 1
+        return load <= self.bound * self.share_by_id[engine_id]
+
+    def overload(self, engine_id: str) -> float:
+        """Return the load of an engine with one more request, by its share."""
+        share = max(0.01, self.share_by_id[engine_id])
+        return (self.load_by_id[engine_id] + 1) / share
+
+
 @define
 class EngineChooser:
     """Chooses the engine of a service for each attempt.
@@ -112,45 +153,33 @@
         ]
         if not engines:
             return None
-        share_by_id = self._traffic_shares(engines, unreachable_domains, may_probe)
-        load_by_id = self._loads.totals(engine.id for engine in engines)
-        limited_ids = self._rate_limiter.limits(engines).keys()
-        # Engines at their rate limits have little load, which says nothing of the rest.
-        bearing = [e for e in engines if e.id not in limited_ids] or engines
-        mean_load = sum(load_by_id[e.id] for e in bearing) / len(bearing)
+        candidates = _Candidates(
+            {engine.id: engine for engine in engines},
+            self._loads.totals(engine.id for engine in engines),
+            self._traffic_shares(engines, unreachable_domains, may_probe),
+            self._rate_limiter.limits(engines).keys(),
+        )
         if shared_parts:
-            return self._choose_by_prompt(
-                service,
-                engines,
-                shared_parts,
-                share_by_id,
-                load_by_id,
-                mean_load,
-                limited_ids,
-            )
-        engine = self._least_loaded(engines, load_by_id, share_by_id, limited_ids)
+            return self._choose_by_prompt(service, candidates, shared_parts)
+        return self._choose_by_load(candidates)
+
+    def _choose_by_load(self, candidates: _Candidates) -> EngineChoice | None:
+        engines = candidates.engine_by_id.values()
+        score = partial(self._load_score, candidates)
+        engine = (
+            self._first_within_limit(sorted(engines, key=score), candidates.limited_ids)
+            if candidates.limited_ids
+            else min(engines, key=score)
+        )
         if engine is None:
             return None
         return EngineChoice(
-            engine, ChoiceReason.LEAST_LOADED, load_by_id[engine.id], mean_load
+            engine,
+            ChoiceReason.LEAST_LOADED,
+            candidates.load_by_id[engine.id],
+            candidates.mean_load,
         )
 
-    def _least_loaded(
-        self,
-        engines: list[Engine],
-        load_by_id: Mapping[str, int],
-        share_by_id: Mapping[str, float],
-        limited_ids: Collection[str],
-    ) -> Engine | None:
-        def score(engine: Engine) -> float:
-            return self._load_score(
-                engine, load_by_id[engine.id], share_by_id[engine.id]
-            )
-
-        if not limited_ids:
-            return min(engines, key=score)
-        return self._first_within_limit(sorted(engines, key=score), limited_ids)
-
     def _first_within_limit(
         self, engines: Iterable[Engine], limited_ids: Collection[str]
     ) -> Engine | None:
@@ -171,41 +200,24 @@
         return None
 
     def _choose_by_prompt(
-        self,
-        service: str,
-        engines: list[Engine],
-        shared_parts: Sequence[str],
-        share_by_id: Mapping[str, float],
-        load_by_id: Mapping[str, int],
-        mean_load: float,
-        limited_ids: Collection[str],
+        self, service: str, candidates: _Candidates, shared_parts: Sequence[str]
     ) -> EngineChoice | None:
-        engine_by_id = {engine.id: engine for engine in engines}
-        ranked_ids = self._rank(sorted(engine_by_id), shared_parts[-1])
-        bound = LOAD_BOUND_FACTOR * mean_load + LOAD_BOUND_SLACK_REQUESTS
-
-        def overload(engine_id: str) -> float:
-            return (load_by_id[engine_id] + 1) / max(0.01, share_by_id[engine_id])
-
-        def candidates() -> Iterator[Engine]:
-            """Yield the engines within the bound by rank, then all by load."""
-            for engine_id in ranked_ids:
-                if load_by_id[engine_id] + 1 <= bound * share_by_id[engine_id]:
-                    yield engine_by_id[engine_id]
-            for engine_id in sorted(ranked_ids, key=overload):
-                yield engine_by_id[engine_id]
-
-        chosen = self._first_within_limit(candidates(), limited_ids)
+        ranked_ids = self._rank(sorted(candidates.engine_by_id), shared_parts[-1])
+        chosen = self._first_within_limit(
+            _in_order(candidates, ranked_ids), candidates.limited_ids
+        )
         if chosen is None:
             return None
         source = self._cache_sources.find(
             service, shared_parts, chosen, self._rank, self._is_trusted
         )
-        usual_id = ranked_ids[0]
-        reason = _reason(
-            chosen.id, usual_id, share_by_id[usual_id], usual_id in limited_ids
+        return EngineChoice(
+            chosen,
+            _reason(candidates, chosen.id, usual_id=ranked_ids[0]),
+            candidates.load_by_id[chosen.id],
+            candidates.mean_load,
+            source,
         )
-        return EngineChoice(chosen, reason, load_by_id[chosen.id], mean_load, source)
 
     def _is_trusted(self, engine: Engine) -> bool:
         return self._health_share(engine, may_probe=False) >= MIN_HEALTHY_SHARE
@@ -239,12 +251,13 @@
             return 0.0
         return self._health.share(engine.id)
 
-    def _load_score(self, engine: Engine, load: int, share: float) -> float:
+    def _load_score(self, candidates: _Candidates, engine: Engine) -> float:
         penalty = CROSS_DOMAIN_PENALTY_REQUESTS * (
             engine.failure_domain != self._reachability.own_domain
         )
         jitter = self._random.random() * CROSS_DOMAIN_PENALTY_REQUESTS
-        return (load + 1 + penalty + jitter) / max(0.01, share)
+        share = max(0.01, candidates.share_by_id[engine.id])
+        return (candidates.load_by_id[engine.id] + 1 + penalty + jitter) / share
 
     def _rank(self, engine_ids: list[str], cache_key: str) -> list[str]:
         ids = tuple(engine_ids)
@@ -257,14 +270,21 @@
         return table.order(cache_key, len(ids))
 
 
-def _reason(
-    chosen_id: str, usual_id: str, usual_share: float, usual_is_limited: bool
-) -> ChoiceReason:
+def _in_order(candidates: _Candidates, ranked_ids: list[str]) -> Iterator[Engine]:
+    """Yield the engines within the load bound by rank, then all by load."""
+    for engine_id in ranked_ids:
+        if candidates.is_within_bound(engine_id):
+            yield candidates.engine_by_id[engine_id]
+    for engine_id in sorted(ranked_ids, key=candidates.overload):
+        yield candidates.engine_by_id[engine_id]
+
+
+def _reason(candidates: _Candidates, chosen_id: str, usual_id: str) -> ChoiceReason:
     """Return why an engine was chosen for a request whose usual one is known."""
     if chosen_id == usual_id:
         return ChoiceReason.USUAL_ENGINE
-    if usual_share < MIN_HEALTHY_SHARE:
+    if candidates.share_by_id[usual_id] < MIN_HEALTHY_SHARE:
         return ChoiceReason.USUAL_ENGINE_SUSPECT
-    if usual_is_limited:
+    if usual_id in candidates.limited_ids:
         return ChoiceReason.USUAL_ENGINE_LIMITED
     return ChoiceReason.USUAL_ENGINE_FULL
--- a/tests/harness/crash_drill/part_drill.py
+++ b/tests/harness/crash_drill/part_drill.py
@@ -7,7 +7,7 @@
 
 from tests.harness.crash_drill.drill import CrashDrill, DrillResult, DrillSettings
 from tests.harness.crash_drill.engine import Arrival, CrashableEngine, response_head
-from tests.harness.gateway_fleet import GatewayProcess
+from tests.harness.gateway_fleet import CHAT_ROUTES, GatewayProcess
 from tests.harness.waiting import pause
 
 CRASH_PARTS = ("bad0", "bad1")
@@ -22,14 +22,6 @@
 RECOVERY_SECONDS = 6.0
 # They must begin at the first attempt at least this many times as often as before.
 MIN_BEGUN_FACTOR = 0.5
-ROUTES = {
-    "chat": {
-        "kind": "streaming",
-        "max_attempts": 2,
-        "stream_resume": True,
-        "session_affinity": True,
-    },
-}
 
 
 @attrs.frozen
@@ -181,7 +173,7 @@
 class PartDrill(CrashDrill):
     """Gateways, a store, and engines that a prompt part crashes."""
 
-    routes = ROUTES
+    routes = CHAT_ROUTES
     crashes_before_stop = MAX_PART_CRASHES_BEFORE_STOP
     result_type = PartDrillResult
     settings: PartDrillSettings
--- a/tests/harness/gateway_fleet.py
+++ b/tests/harness/gateway_fleet.py
@@ -28,6 +28,17 @@
 }
 
 
+CHAT_ROUTES = {
+    "chat": {
+        "kind": "streaming",
+        "max_attempts": 2,
+        "stream_resume": True,
+        "session_affinity": True,
+    },
+}
+"""One route with resumable streams."""
+
+
 def make_config(version: int, routes: dict = ROUTES, keys: tuple = (KEY,)) -> dict:
     """Return a config record with one route per kind of request."""
     return {
--- a/tests/harness/rate_drill.py
+++ b/tests/harness/rate_drill.py
@@ -12,7 +12,7 @@
     DrillSettings,
 )
 from tests.harness.crash_drill.engine import Arrival, CrashableEngine, response_head
-from tests.harness.gateway_fleet import GatewayProcess
+from tests.harness.gateway_fleet import CHAT_ROUTES, GatewayProcess
 from tests.harness.waiting import pause
 
 # The platform's rule: from CONTACT_SECONDS after an engine has first named its limit,
@@ -27,14 +27,6 @@
 SHARED_PARTS = 12
 CHATS = 40
 EVENT_SECONDS = 0.05
-ROUTES = {
-    "chat": {
-        "kind": "streaming",
-        "max_attempts": 2,
-        "stream_resume": True,
-        "session_affinity": True,
-    },
-}
 
 
 @attrs.frozen
@@ -172,7 +164,7 @@
 class RateDrill(CrashDrill):
     """Gateways, a store, and engines of which some name a limit."""
 
-    routes = ROUTES
+    routes = CHAT_ROUTES
     settings: RateDrillSettings
 
     def __init__(self, folder, settings: RateDrillSettings) -> None:
--- a/tests/harness/version_drill.py
+++ b/tests/harness/version_drill.py
@@ -13,7 +13,7 @@
     DrillSettings,
 )
 from tests.harness.crash_drill.engine import CrashableEngine, response_head
-from tests.harness.gateway_fleet import HOST, KEY, GatewayProcess
+from tests.harness.gateway_fleet import CHAT_ROUTES, HOST, KEY, GatewayProcess
 from tests.harness.ports import free_address
 from tests.harness.scripted_engine import reset_connection
 from tests.harness.waiting import pause
@@ -27,14 +27,6 @@
 MIN_RESUMED_FACTOR = 0.5
 MAX_TRIES = 4
 SHARED_PARTS = 12
-ROUTES = {
-    "chat": {
-        "kind": "streaming",
-        "max_attempts": 2,
-        "stream_resume": True,
-        "session_affinity": True,
-    },
-}
 
 
 @attrs.frozen
@@ -146,7 +138,7 @@
 class VersionDrill(CrashDrill):
     """Gateways, a store, and engines of several versions."""
 
-    routes = ROUTES
+    routes = CHAT_ROUTES
     result_type = VersionDrillResult
     settings: VersionDrillSettings
     calls: list[StreamRecord]
