Tell peers at once only of broken streams that they can't have been told of

When many callers leave at once, each stream that broke made the VM send all its peers a digest. Those of streams begun over half a second ago bring nothing: the digests, four a second, have told of them. Found by reading; not measured.

--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -56,6 +56,9 @@
 # Share of the non-retryable requests that may probe a suspect engine.
 UNSAFE_PROBE_SHARE = 0.1
 
+# The peers have been told of what happened longer ago.
+UNREPORTED_SECONDS = 0.5
+
 OVERLOAD_REASON = "the engines have more work than they can do in time"
 RATE_LIMIT_REASON = "the engines take fewer requests per second than are sent"
 NO_ENGINE_REASON = "no engine is known"
@@ -108,7 +111,7 @@
         try:
             await self._forward(call, progress, writer)
         finally:
-            if writer.is_started and not progress.is_delivered:
+            if not progress.is_delivered and self._has_just_begun(writer):
                 # The caller may take the stream up again at another VM now.
                 self._state.notify_peers()
 
@@ -130,6 +133,11 @@
                 break
         await self._give_up(call, progress, writer)
 
+    def _has_just_begun(self, writer: ResponseWriter) -> bool:
+        """Return whether a response began after the last digest to the peers."""
+        age_s = self._clock.monotonic() - writer.started_at
+        return writer.is_started and age_s < UNREPORTED_SECONDS
+
     def _refusal_reason(self, call: Call) -> str:
         """Return why a call must not be forwarded, or an empty string."""
         if not self._has_time(call):
