Stay with a paused stream while no other engine of its version serves

What callers saw: a stream broke off after a pause of 1.5 s of its engine, if that engine is the only one of its version; before streams kept to their version another engine took it over. Cause: the time limit on a pause asks whether a retry is allowed, not whether any engine could take it. Change: it applies only while an untried engine of the version is listed. Why it works: leaving an engine brings a caller nothing where nobody can go on.

--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -226,7 +226,11 @@
         self._loads.request_started(engine_id)
         try:
             result = await self._attempt_runner.run(
-                call, choice, self._limits(call, progress), writer, progress.events
+                call,
+                choice,
+                self._limits(call, choice, progress),
+                writer,
+                progress.events,
             )
         finally:
             self._loads.request_ended(engine_id)
@@ -249,7 +253,9 @@
             log_failure(call, engine_id, progress, writer.is_started)
         return result
 
-    def _limits(self, call: Call, progress: CallProgress) -> AttemptLimits:
+    def _limits(
+        self, call: Call, choice: EngineChoice, progress: CallProgress
+    ) -> AttemptLimits:
         now = self._clock.monotonic()
         may_retry = (
             call.route.is_retryable
@@ -265,7 +271,20 @@
         vms = self._retry_budget.vm_count
         share = service.max_connections * CONNECTION_SHARE / vms if service else 0
         return AttemptLimits(
-            call.deadline, answer_by, max(MIN_CONNECTIONS, int(share)), may_retry
+            call.deadline,
+            answer_by,
+            max(MIN_CONNECTIONS, int(share)),
+            may_retry and self._may_others_go_on(call, choice, progress),
+        )
+
+    def _may_others_go_on(
+        self, call: Call, choice: EngineChoice, progress: CallProgress
+    ) -> bool:
+        """Return whether an untried engine has the version of the chosen one."""
+        return any(
+            engine.version == choice.engine.version
+            and engine.id not in progress.tried_ids
+            for engine in self._state.directory.usable(call.service)
         )
 
     def _may_retry(self, call: Call, progress: CallProgress) -> bool:
