Forget what was counted of an engine when its rate limit has ended

What callers saw: nothing; an engine that named a limit, then none, and then one again got a burst at once (its limit for 0.75 s and two requests), since its bucket had drained meanwhile. Cause: the bucket was to go when a request met the engine without a limit, but only engines with one are asked. Found by reading; the test failed before and passes. Change: it goes as soon as the limit is looked up and there is none.

--- a/dotterelpitch/routing/engine_rate_limiter.py
+++ b/dotterelpitch/routing/engine_rate_limiter.py
@@ -92,9 +92,13 @@
     }
 
     def limit(self, engine: Engine) -> float | None:
-        """Return the requests per second that an engine may get, or None."""
+        """Return the requests per second that an engine may get, or None.
+
+        What was counted of an engine is forgotten when its limit has ended.
+        """
         named = self._registry.limit(engine)
         if named is None:
+            self._state_by_id.pop(engine.id, None)
             return None
         return max(MIN_PER_SECOND, named) * self.fleet_share
 
@@ -115,7 +119,6 @@
         """
         limit = self.limit(engine)
         if limit is None:
-            self._state_by_id.pop(engine.id, None)
             return True
         state = self._state(engine.id, limit)
         now = self._clock.monotonic()
--- a/tests/test_rate_limit_registry.py
+++ b/tests/test_rate_limit_registry.py
@@ -5,6 +5,7 @@
 from dotterelpitch.clock import ManualClock
 from dotterelpitch.platform.headers import decode_rate_limit
 from dotterelpitch.routing.engines import Engine
+from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.rate_limit_registry import ObservedLimit, RateLimitRegistry
 
 ENGINE = Engine("e1", "chat", "10.0.0.1:1", "a", started_ms=1)
@@ -104,6 +105,21 @@
     assert [limit.is_in_force for limit in changed] == [False]
 
 
+# Guards against: an engine that names a limit again gets a burst at once.
+def test_engine_that_names_a_limit_again_starts_with_a_full_bucket():
+    clock = ManualClock(10.0)
+    rate_limits = FleetRateLimits(clock)
+    registry, limiter = rate_limits.registry, rate_limits.limiter
+    registry.record_response(ENGINE, 1.0)
+    assert not limiter.try_send(ENGINE)
+    clock.advance(5.0)
+    registry.record_response(ENGINE, None)
+    assert rate_limits.admits("chat", 0, [ENGINE])
+    clock.advance(5.0)
+    registry.record_response(ENGINE, 1.0)
+    assert not limiter.try_send(ENGINE)
+
+
 def test_limits_of_unknown_engines_are_removed():
     registry = RateLimitRegistry(ManualClock())
     registry.record_response(ENGINE, 3.0)
