--- a/tests/harness/crash_drill/engine.py
+++ b/tests/harness/crash_drill/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 import time
 from enum import StrEnum
@@ -53,7 +54,8 @@
     """One place of the fleet at which an engine runs, ends, and runs again.
 
     ``id``, ``address``, and ``started_ms`` are those of the current run. ``work_s`` is
-    the time that a request takes.
+    the time that a request takes. ``cached_parts`` are the prompt parts that it lists
+    as cached, or None if it knows no such call.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._run = 0
         self._run_over = asyncio.Event()
+        self.cached_parts: set[str] | None = None
 
     async def start(self, address: str) -> None:
         """Begin a run that listens on ``address``."""
@@ -180,6 +183,9 @@
                 "Content-Length: 0\r\n\r\n".encode()
             )
             return True
+        if head.startswith(b"GET /v1/kv-list ") and self.cached_parts is not None:
+            writer.write(_cache_list(self.cached_parts))
+            return True
         if headers.get("expect-instance") != self.id:
             writer.write(
                 b"HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\n"
@@ -240,6 +246,13 @@
     return "\r\n".join([*head, *lines, "", ""]).encode()
 
 
+def _cache_list(parts: set[str]) -> bytes:
+    """Return the response that lists the cached prompt parts."""
+    held = [["", part, 500, "m"] for part in sorted(parts)]
+    body = json.dumps({"epoch": 1, "next_token": 1, "held": held}).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
 def _parse_headers(head: bytes) -> dict[str, str]:
     lines = head.decode("latin-1").split("\r\n")[1:]
     fields = (line.partition(":") for line in lines if line)
--- a/tests/harness/version_drill.py
+++ b/tests/harness/version_drill.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from pathlib import Path
 
 import aiohttp
 import attrs
@@ -37,7 +38,10 @@
     of the streams off inside an event, and callers themselves leave ``left_share`` of
     theirs. If ``replaces`` is set, an engine of the first version leaves each second,
     and one of the last version comes. ``names_first`` is whether callers name in
-    ``Resumes`` which attempt brought the first event.
+    ``Resumes`` which attempt brought the first event. At each of the times
+    ``losses_at``, in seconds from the start, all VMs but ``survivors`` are killed and
+    start again; at ``released_at`` all engines of the first version are replaced by
+    ones of the last. ``lists_caches`` is whether engines say what they have cached.
     """
 
     seconds: float = 12.0
@@ -48,6 +52,10 @@
     replaces: bool = False
     names_first: bool = True
     deadline_s: float = 6.0
+    losses_at: tuple[float, ...] = ()
+    survivors: int = 0
+    released_at: float | None = None
+    lists_caches: bool = True
 
 
 @attrs.define
@@ -56,12 +64,15 @@
 
     ``versions`` holds the version of each event, ``resumed`` is how many tries took it
     up again, ``gone_on`` how many of these brought events, and ``reasons`` what those
-    were told that didn't.
+    were told that didn't. ``orphaned`` and ``orphaned_gone_on`` are the same of tries
+    at VMs that have all started after the stream had begun.
     """
 
     versions: list[str] = attrs.field(factory=list)
     resumed: int = 0
     gone_on: int = 0
+    orphaned: int = 0
+    orphaned_gone_on: int = 0
     is_whole: bool = False
     numbers: list[int] = attrs.field(factory=list)
     reasons: list[str] = attrs.field(factory=list)
@@ -94,16 +105,25 @@
         resumed = sum(call.resumed for call in self.calls)
         return sum(call.gone_on for call in self.calls) / resumed if resumed else 1.0
 
+    def orphaned_share(self) -> float:
+        """Return the same share of the tries at VMs that have all started since."""
+        tries = sum(call.orphaned for call in self.calls)
+        assert tries, "no stream was taken up after all VMs were lost"
+        return sum(call.orphaned_gone_on for call in self.calls) / tries
+
     def summary(self) -> str:
         """Return the counts on one line."""
         whole = sum(call.is_whole for call in self.calls)
         resumed = sum(call.resumed for call in self.calls)
+        orphaned = sum(call.orphaned for call in self.calls)
+        orphaned_gone_on = sum(call.orphaned_gone_on for call in self.calls)
         reasons = sorted({reason for call in self.calls for reason in call.reasons})
         return (
             f"{len(self.mixed)} of {len(self.calls)} streams mixed, "
             f"{len(self.broken_order)} out of order, {whole} whole; "
             f"{self.begun_share():.0%} begun, {self.resumed_share():.0%} of {resumed} "
-            f"tries gone on; {reasons}"
+            f"tries gone on, {orphaned_gone_on} of {orphaned} after a loss of all VMs; "
+            f"{reasons}"
         )
 
 
@@ -117,6 +137,9 @@
         self, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter
     ) -> None:
         """Write a stream, or a part of it."""
+        if self.cached_parts is not None:
+            prompt = headers.get("prompt-prefix", "")
+            self.cached_parts |= {e.partition(":")[0] for e in prompt.split(",")}
         lines = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
         writer.write(response_head(headers, *lines))
         first = int(headers.get("last-event-id") or 0) + 1
@@ -143,12 +166,19 @@
     settings: VersionDrillSettings
     calls: list[StreamRecord]
 
+    def __init__(self, folder: Path, settings: VersionDrillSettings) -> None:
+        super().__init__(folder, settings)
+        self._vms_run = asyncio.Event()
+        self._vms_run.set()
+        self._losses = 0
+
     def make_engine(self, name: str, domain: str) -> VersionedEngine:
         """Return an engine that isn't started yet."""
         settings = self.settings
         engine = VersionedEngine(name, domain, settings.death, 0.0, self.arrivals)
         engine.version = settings.versions[len(self.engines) % len(settings.versions)]
         engine.breaks_off = lambda: self.random.random() < settings.broken_share
+        engine.cached_parts = set() if settings.lists_caches else None
         return engine
 
     def record_of(self, engine: VersionedEngine) -> dict:
@@ -156,7 +186,38 @@
         return {**super().record_of(engine), "version": engine.version}
 
     async def send_crashing(self, began: float) -> None:
-        """Replace engines, if the settings say so; no request crashes any."""
+        """Do what the settings say to VMs and engines; no request crashes any."""
+        await asyncio.gather(
+            self._replace_engines(), self._release(began), self._lose_vms(began)
+        )
+
+    async def _release(self, began: float) -> None:
+        """Replace all engines of the first version at once."""
+        settings = self.settings
+        if settings.released_at is None:
+            return
+        await pause(began + settings.released_at - time.monotonic())
+        old = [e for e in self.engines if e.version == settings.versions[0]]
+        for number, engine in enumerate(old):
+            name = f"new{number}"
+            await self._add_engine(name, engine.domain, settings.versions[-1])
+            self.store.delete(f"servers/{engine.id}")
+
+    async def _lose_vms(self, began: float) -> None:
+        """Kill VMs at once and start them again, at each of the times."""
+        for at in self.settings.losses_at:
+            await pause(began + at - time.monotonic())
+            lost = self.gateways[self.settings.survivors :]
+            if not self.settings.survivors:
+                self._vms_run.clear()
+                self._losses += 1
+            await asyncio.gather(*(g.process.kill() for g in lost))
+            await asyncio.gather(*(g.process.start() for g in lost))
+            await asyncio.gather(*(g.wait_ready() for g in lost))
+            self._vms_run.set()
+
+    async def _replace_engines(self) -> None:
+        """Replace an engine of the first version each second, if they are to be."""
         settings = self.settings
         if not settings.replaces:
             return
@@ -194,18 +255,25 @@
         shared = f"shared{number % SHARED_PARTS}"
         headers = {"Prompt-Prefix": f"{shared}:500,last{number}:20"}
         until = time.monotonic() + self.settings.deadline_s
+        began_after = 0
         for attempt in range(MAX_TRIES):
+            await self._vms_run.wait()
             headers["Request-Id"] = f"{record.request_id}-{attempt}"
             before = len(record.numbers)
+            losses = self._losses
             if before:
+                record.orphaned += losses > began_after
                 headers["Last-Event-Id"] = str(record.numbers[-1])
                 record.resumed += 1
             gateway = self.random.choice(self.gateways)
             await self._read_try(gateway, number, headers, record, until)
             if not before and record.numbers and self.settings.names_first:
                 headers["Resumes"] = headers["Request-Id"]
-            if before:
-                record.gone_on += len(record.numbers) > before
+            if not before:
+                began_after = losses
+            elif len(record.numbers) > before:
+                record.gone_on += 1
+                record.orphaned_gone_on += losses > began_after
             if record.is_whole or time.monotonic() > until - 1.0:
                 return
             await pause(0.1)
