Take one version for the only one only if that is known for long enough

Callers whose streams broke off when all VMs were killed got the rest from another engine version. Cause: StreamResumption took "one version seen" for "there was one version only" in a process that had just started and had seen nothing else. Silence of a process that has just started is no evidence; the same after seconds without the store.

Now the history of versions says since when it is complete (version_history.py); VMs tell one another, so one that joins knows as much as the VM that has run for longest, and nobody more than that. While it isn't known to have been one version for 30 s, the engines are asked: the last part of a prompt is specific to its request, so an engine that has it cached has run the request (cached_prompt_finder.py; three engines in rank order, then five more, a list is used again for 2 s). One version found: the stream goes on there, and the others are told. None or several: refused at once.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -12,6 +12,7 @@
 from dotterelpitch.gateway.attempt_observer import log_limit_change
 from dotterelpitch.gateway.background import keep_running
 from dotterelpitch.gateway.body_memory import BodyMemory
+from dotterelpitch.gateway.cached_prompt_finder import CachedPromptFinder
 from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.gateway.digest_exchange import DigestExchange
 from dotterelpitch.gateway.engine_tracker import EngineTracker
@@ -32,6 +33,7 @@
 from dotterelpitch.gateway.store_watcher import StoreWatcher
 from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
 from dotterelpitch.gateway.stream_resumption import StreamResumption
+from dotterelpitch.gateway.version_history_exchange import VersionHistoryExchange
 from dotterelpitch.platform.store import StoreClient
 from dotterelpitch.platform.vm_settings import VmSettings
 from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
@@ -79,7 +81,11 @@
         )
         self.rate_limits = FleetRateLimits(self._clock)
         self.stream_origins = StreamOrigins(self._clock)
-        stream_resumption = StreamResumption(self.state.directory, self.stream_origins)
+        stream_resumption = StreamResumption(
+            self.state,
+            self.stream_origins,
+            CachedPromptFinder(self._clock, self.state.directory),
+        )
         self.pool = ConnectionPool(self._clock)
         engine_tracker = self.engine_tracker
         self.state.directory.on_restart = engine_tracker.record_engine_restart
@@ -204,6 +210,7 @@
                 self._clock, self.state, self._topology, fleet, self.rate_limits
             ),
             StreamOriginExchange(self._topology, self.stream_origins),
+            VersionHistoryExchange(self._clock, self.state),
             self.loads,
             self.retry_budget,
             self._settings.digest_seconds,
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -95,7 +95,7 @@
 
     async def forward(self, call: Call, writer: ResponseWriter) -> None:
         """Send the caller an engine's response, or a refusal with its reason."""
-        resumption = self._stream_resumption.resolve(call)
+        resumption = await self._stream_resumption.resolve(call)
         if resumption.service != call.service:
             call = evolve(call, service=resumption.service)
         reason = resumption.refusal_reason or self._refusal_reason(call)
--- a/dotterelpitch/gateway/link.py
+++ b/dotterelpitch/gateway/link.py
@@ -16,8 +16,9 @@
     on prompt parts. ``rate_limits_sent`` and ``counts_sent`` are the same for the rate
     limits and for the counts of requests, and ``contact_share_sent`` is the share of
     the fleet in contact that was sent last. ``origins_sent`` is the number of the last
-    batch of stream origins sent. ``list_sent`` is the last fleet list
-    sent and ``list_sent_at`` its time on the monotonic clock, in seconds.
+    batch of stream origins sent, and ``versions_sent`` the update count of the history
+    of versions sent last. ``list_sent`` is the last fleet list sent and
+    ``list_sent_at`` its time on the monotonic clock, in seconds.
     """
 
     peer: FleetVm
@@ -29,6 +30,7 @@
     counts_sent: int = 0
     contact_share_sent: float = 1.0
     origins_sent: int = 0
+    versions_sent: int = 0
     list_sent: tuple[FleetVm, ...] = ()
     list_sent_at: float = float("-inf")
 
--- a/dotterelpitch/gateway/peer_links.py
+++ b/dotterelpitch/gateway/peer_links.py
@@ -17,6 +17,7 @@
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
+from dotterelpitch.gateway.version_history_exchange import VersionHistoryExchange
 from dotterelpitch.protocol.connection import dial
 from dotterelpitch.protocol.gateway_messages import (
     FetchRecords,
@@ -26,6 +27,7 @@
     OpenLink,
     RateLimitDigest,
     StreamOriginDigest,
+    VersionHistoryDigest,
 )
 from dotterelpitch.protocol.handshake import Identity
 from dotterelpitch.protocol.server import HandlerTable
@@ -61,6 +63,7 @@
         reader_selection: ReaderSelection,
         rate_limits: RateLimitExchange,
         stream_origins: StreamOriginExchange,
+        version_history: VersionHistoryExchange,
         loads: FleetLoads,
         retry_budget: FleetRetryBudget,
         digest_period_s: float,
@@ -76,6 +79,7 @@
         self._reader_selection = reader_selection
         self._rate_limits = rate_limits
         self._stream_origins = stream_origins
+        self._version_history = version_history
         self._loads = loads
         self._retry_budget = retry_budget
         self._digest_period_s = digest_period_s
@@ -186,6 +190,8 @@
                     self._rate_limits.apply(link, message)
                 elif isinstance(message, StreamOriginDigest):
                     self._stream_origins.apply(link, message)
+                elif isinstance(message, VersionHistoryDigest):
+                    self._version_history.apply(link, message)
                 else:
                     return
         finally:
@@ -215,6 +221,11 @@
             link.list_sent = vms
             link.list_sent_at = now
         connection.write(link.stream.number, self._digests.make(link))
-        for exchange in (self._rate_limits, self._stream_origins):
+        # The history comes last: whoever believes it has been told of the streams.
+        for exchange in (
+            self._rate_limits,
+            self._stream_origins,
+            self._version_history,
+        ):
             if (digest := exchange.make(link)) is not None:
                 connection.write(link.stream.number, digest)
--- a/dotterelpitch/gateway/stream_resumption.py
+++ b/dotterelpitch/gateway/stream_resumption.py
@@ -2,8 +2,9 @@
 
 from attrs import define, frozen
 
+from dotterelpitch.gateway.cached_prompt_finder import CachedPromptFinder
 from dotterelpitch.gateway.call import Call
-from dotterelpitch.routing.engines import EngineDirectory
+from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.routing.stream_origins import (
     RETENTION_SECONDS,
@@ -11,6 +12,9 @@
     StreamOrigins,
 )
 
+# An older state may lack a version that other VMs use already.
+MAX_STATE_AGE_SECONDS = 3.0
+
 UNKNOWN_ORIGIN_REASON = "it isn't known which engine version began the stream"
 OTHER_SERVICE_REASON = "the service that began the stream isn't on this route"
 NO_ENGINE_OF_VERSION_REASON = "no engine of the version that began the stream is free"
@@ -33,20 +37,22 @@
 class StreamResumption:
     """Resolves calls that take a stream up again.
 
-    A stream of unknown origin goes on while its service has had one version only, for
-    as long as origins are known.
+    A stream of unknown origin goes on if its service is known to have had one version
+    only, for as long as origins are known; otherwise at the version whose engines have
+    its prompt in their caches, if there is just one.
     """
 
-    _directory: EngineDirectory
+    _state: GatewayState
     _origins: StreamOrigins
+    _prompt_finder: CachedPromptFinder
 
-    def resolve(self, call: Call) -> Resumption:
+    async def resolve(self, call: Call) -> Resumption:
         """Return how a call may be served; any engine may serve a new stream."""
         if call.route.kind is not CallKind.STREAM or not call.headers.last_event_id:
             return Resumption(call.service)
         origin = self._origins.find(call.account_name, call.headers.resumes)
         if origin is None:
-            return self._resolve_unknown(call.service)
+            return await self._resolve_unknown(call)
         if origin.service not in {s.service for s in call.route.services}:
             return Resumption(call.service, refusal_reason=OTHER_SERVICE_REASON)
         return Resumption(origin.service, origin.version)
@@ -54,12 +60,29 @@
     def record(self, call: Call, version: str) -> None:
         """Record which version has sent the first event of a call's stream."""
         if call.route.is_resumable and not call.headers.last_event_id:
-            self._origins.record(
-                call.account_name, call.request_id, StreamOrigin(call.service, version)
-            )
-
-    def _resolve_unknown(self, service: str) -> Resumption:
-        versions = self._directory.recent_versions(service, RETENTION_SECONDS)
-        if len(versions) > 1:
-            return Resumption(service, refusal_reason=UNKNOWN_ORIGIN_REASON)
-        return Resumption(service, *versions)
+            origin = StreamOrigin(call.service, version)
+            self._origins.record(call.account_name, call.request_id, origin)
+
+    async def _resolve_unknown(self, call: Call) -> Resumption:
+        versions = self._known_versions(call.service)
+        if versions is None or len(versions) > 1:
+            versions = await self._prompt_finder.find_versions(call)
+            if len(versions) != 1:
+                return Resumption(call.service, refusal_reason=UNKNOWN_ORIGIN_REASON)
+            self._record_found(call, *versions)
+        return Resumption(call.service, *versions)
+
+    def _known_versions(self, service: str) -> set[str] | None:
+        """Return the versions that may have begun a stream, or None if not known."""
+        if self._state.age_s > MAX_STATE_AGE_SECONDS:
+            return None
+        directory = self._state.directory
+        if not directory.version_history.reaches_back(RETENTION_SECONDS):
+            return None
+        return directory.recent_versions(service, RETENTION_SECONDS)
+
+    def _record_found(self, call: Call, version: str) -> None:
+        """Record a stream's origin for its next attempts, also at other VMs."""
+        if call.headers.resumes:
+            origin = StreamOrigin(call.service, version)
+            self._origins.record(call.account_name, call.headers.resumes, origin)
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -12,7 +12,9 @@
 RATE_LIMITS_LINK_VERSION = 1
 # The first one whose gateways understand StreamOriginDigest.
 STREAM_ORIGINS_LINK_VERSION = 2
-LINK_VERSION = STREAM_ORIGINS_LINK_VERSION
+# The first one whose gateways understand VersionHistoryDigest.
+VERSION_HISTORY_LINK_VERSION = 3
+LINK_VERSION = VERSION_HISTORY_LINK_VERSION
 """The link version of this program."""
 
 
@@ -167,6 +169,23 @@
     begun: list[StreamsBegun] = field(factory=list)
 
 
+@frozen
+class VersionListed:
+    """A version of a service's engines that was listed until ``age_ms`` ago."""
+
+    service: str
+    version: str
+    age_ms: int
+
+
+@message(80)
+class VersionHistoryDigest:
+    """The versions listed lately; none of the last ``known_for_ms`` is missing."""
+
+    known_for_ms: int
+    listed: list[VersionListed] = field(factory=list)
+
+
 @message(77)
 class FleetList:
     """The gateways that the sender reports as running; replaces its previous list."""
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -11,6 +11,7 @@
 from attrs import define, field, frozen
 
 from dotterelpitch.clock import Clock
+from dotterelpitch.routing.version_history import ServiceVersion, VersionHistory
 
 # A running engine registers again within this time after the registry is back.
 REREGISTRATION_SECONDS = 2.0
@@ -40,6 +41,11 @@
     started_ms: int = 0
     version: str = ""
 
+    @property
+    def service_version(self) -> ServiceVersion:
+        """The service together with the software version."""
+        return ServiceVersion(self.service, self.version)
+
     @property
     def run_id(self) -> str:
         """Id of this run of the engine, different after each restart."""
@@ -52,6 +58,7 @@
 
     ``drain_s`` is the drain time of leaving engines in seconds. ``on_restart`` is
     called with the previous run of an engine that has registered with a later start.
+    ``version_history`` holds the versions that were listed lately.
 
     >>> from dotterelpitch.clock import ManualClock
     >>> directory = EngineDirectory(ManualClock())
@@ -72,7 +79,10 @@
     _departed_by_id: dict[str, tuple[float, Engine]] = field(factory=dict)
     _missing_since_by_id: dict[str, float] = field(factory=dict)
     _usable_by_service: dict[str, list[Engine]] = field(factory=dict)
-    _version_left_at: dict[tuple[str, str], float] = field(factory=dict)
+    version_history: VersionHistory = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.version_history = VersionHistory(self._clock)
 
     def put(self, engine: Engine) -> None:
         """Add an engine, or replace its entry with a newer one."""
@@ -86,7 +96,8 @@
         if is_new_run and previous is not None and self.on_restart is not None:
             self.on_restart(previous)
         if previous is not None:
-            self._record_version_left(previous)
+            self.version_history.record(previous.service_version)
+        self.version_history.record(engine.service_version)
         if engine.is_leaving:
             now = self._clock.monotonic()
             self._leaving_since_by_id.setdefault(engine.id, now)
@@ -105,7 +116,7 @@
         engine = self.engine_by_id.pop(engine_id, None)
         if engine is None:
             return
-        self._record_version_left(engine)
+        self.version_history.record(engine.service_version)
         self._first_seen_by_id.pop(engine_id, None)
         self._leaving_since_by_id.pop(engine_id, None)
         if not engine.is_leaving:
@@ -123,6 +134,7 @@
         for engine in engines:
             listed_ids.add(engine.id)
             self.put(engine)
+        self.version_history.start()
         now = self._clock.monotonic()
         for engine_id in self.engine_by_id.keys() - listed_ids:
             if may_be_incomplete:
@@ -158,23 +170,29 @@
             self._usable_by_service[service] = engines
         return engines
 
+    def listed(self, service: str) -> list[Engine]:
+        """Return all registered engines of ``service``, leaving ones included."""
+        return [e for e in self.engine_by_id.values() if e.service == service]
+
     def recent_versions(self, service: str, within_s: float) -> set[str]:
         """Return the software versions of the engines of the last ``within_s`` seconds.
 
-        Leaving engines and those that are gone meanwhile are included.
+        Leaving engines and those that are gone meanwhile are included, as far as
+        ``version_history`` reaches back.
         """
         oldest = self._clock.monotonic() - within_s
-        versions = {
-            engine.version
-            for engine in self.engine_by_id.values()
-            if engine.service == service
+        recent = self.versions_listed_until()
+        return {
+            v.version
+            for v, at in recent.items()
+            if v.service == service and at >= oldest
         }
-        for (left_service, version), at in list(self._version_left_at.items()):
-            if at < oldest:
-                del self._version_left_at[left_service, version]
-            elif left_service == service:
-                versions.add(version)
-        return versions
+
+    def versions_listed_until(self) -> dict[ServiceVersion, float]:
+        """Return the versions listed lately, each with the time until which it was."""
+        for engine in self.engine_by_id.values():
+            self.version_history.record(engine.service_version)
+        return self.version_history.since(float("-inf"))
 
     def cache_holders(self, service: str, settled_s: float) -> list[Engine]:
         """Return the engines whose caches may hold chats from ``settled_s`` ago.
@@ -214,10 +232,6 @@
         self._expire_departed(self._clock.monotonic())
         return self.engine_by_id.keys() | self._departed_by_id.keys()
 
-    def _record_version_left(self, engine: Engine) -> None:
-        now = self._clock.monotonic()
-        self._version_left_at[engine.service, engine.version] = now
-
     def _expire_departed(self, now: float) -> None:
         for engine_id, (at, _) in list(self._departed_by_id.items()):
             if at < now - DEREGISTERED_RUN_SECONDS:
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -91,6 +91,8 @@
     PART_BANNED = (420, logging.ERROR, "a request was rejected for a prompt part")
     PART_TRIED = (421, logging.WARNING, "a request with a banned prompt part runs")
     RATE_LIMIT_CHANGED = (422, logging.INFO, "an engine names another rate limit")
+    STREAM_ORIGIN_SOUGHT = (423, logging.INFO, "engines were asked who began a stream")
+    CACHE_LIST_FAILED = (424, logging.WARNING, "an engine didn't list its cache")
     LIMIT_MOVED = (416, logging.INFO, "the limit on requests in flight has changed")
     REQUEST_ENDED = (501, logging.INFO, "a request has its final outcome")
     REQUEST_REFUSED = (503, logging.WARNING, "a request was rejected before it ran")
--- a/tests/harness/simulated_gateways.py
+++ b/tests/harness/simulated_gateways.py
@@ -17,6 +17,7 @@
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
+from dotterelpitch.gateway.version_history_exchange import VersionHistoryExchange
 from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
@@ -67,6 +68,7 @@
         self.stream_origin_exchange = StreamOriginExchange(
             self.topology, self.stream_origins
         )
+        self.version_history_exchange = VersionHistoryExchange(self.clock, self.state)
         self.digests = DigestExchange(
             self.vm.name,
             self.clock,
@@ -186,6 +188,9 @@
         origins = sender.stream_origin_exchange.make(sender_link)
         if origins is not None:
             receiver.stream_origin_exchange.apply(receiver_link, origins)
+        versions = sender.version_history_exchange.make(sender_link)
+        if versions is not None:
+            receiver.version_history_exchange.apply(receiver_link, versions)
 
 
 def make_fleet(count, fast_links=6):
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -1,18 +1,28 @@
 """The version that began a stream, as VMs know it: which VM, for how long, how much."""
 
+import asyncio
 import random
 from types import SimpleNamespace
 
 import pytest
 
 from dotterelpitch.clock import ManualClock
+from dotterelpitch.errors import PlatformError
+from dotterelpitch.gateway.cached_prompt_finder import (
+    LIST_TTL_SECONDS,
+    MAX_ASKED,
+    UNNAMED_LIST_TTL_SECONDS,
+    CachedPromptFinder,
+)
+from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.stream_resumption import (
     OTHER_SERVICE_REASON,
     UNKNOWN_ORIGIN_REASON,
     Resumption,
     StreamResumption,
 )
-from dotterelpitch.routing.engines import Engine, EngineDirectory
+from dotterelpitch.platform.cache_list import decode_cache_list
+from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.routing.stream_origins import (
     MAX_STREAMS,
@@ -26,24 +36,64 @@
 ORIGIN = StreamOrigin("chat", "v1")
 
 
-def make_call(last_event_id="7", resumes="r1", kind=CallKind.STREAM, account="packers"):
+def make_call(
+    last_event_id="7",
+    resumes="r1",
+    kind=CallKind.STREAM,
+    account="packers",
+    parts=("system", "own"),
+):
     services = (SimpleNamespace(service="chat"),)
     return SimpleNamespace(
         route=SimpleNamespace(kind=kind, services=services),
         headers=SimpleNamespace(last_event_id=last_event_id, resumes=resumes),
         account_name=account,
         service="chat",
+        request_id="r2",
+        prompt_parts=parts,
+        leading_parts=parts[:-1],
+        shared_parts=parts[:-1] or parts,
     )
 
 
-def make_resumption(versions, service="chat"):
+class Caches:
+    """Engines that say what they have cached; ``asked`` holds the ids of those asked.
+
+    An engine without an entry in ``parts_by_id`` doesn't answer.
+    """
+
+    def __init__(self, parts_by_id=()):
+        self.parts_by_id = dict(parts_by_id)
+        self.asked = []
+
+    async def read(self, engine_id, address):
+        self.asked.append(engine_id)
+        if engine_id not in self.parts_by_id:
+            raise TimeoutError
+        return frozenset(self.parts_by_id[engine_id])
+
+
+def make_resumption(versions, service="chat", known_for_s=60.0, caches=None):
     clock = ManualClock(100.0)
-    directory = EngineDirectory(clock)
-    for number, version in enumerate(versions):
-        directory.put(Engine(f"e{number}", "chat", "10.0.0.1:1", "a", version=version))
+    state = GatewayState(clock)
+    state.directory.replace_all(
+        [
+            Engine(f"e{number}", "chat", "10.0.0.1:1", "a", version=version)
+            for number, version in enumerate(versions)
+        ],
+        may_be_incomplete=False,
+    )
+    clock.advance(known_for_s)
+    state.confirm(1)
     origins = StreamOrigins(clock)
     origins.record("packers", "r1", StreamOrigin(service, "v1"))
-    return StreamResumption(directory, origins), directory, clock
+    finder = CachedPromptFinder(clock, state.directory, (caches or Caches()).read)
+    resumption = StreamResumption(state, origins, finder)
+    return resumption, state.directory, clock
+
+
+def resolve(resumption, call):
+    return asyncio.run(resumption.resolve(call))
 
 
 # Guards against: a caller's stream goes on at whatever version its VM likes.
@@ -61,7 +111,7 @@
 )
 def test_version_that_may_serve_a_call(call, versions, expected):
     resumption, _, _ = make_resumption(versions)
-    assert resumption.resolve(call) == expected
+    assert resolve(resumption, call) == expected
 
 
 @pytest.mark.parametrize(
@@ -77,12 +127,12 @@
 @pytest.mark.parametrize("versions", [["v1", "v2"], ["v1", ""]])
 def test_stream_of_unknown_origin_is_refused_among_versions(call, versions):
     resumption, _, _ = make_resumption(versions)
-    assert resumption.resolve(call).refusal_reason == UNKNOWN_ORIGIN_REASON
+    assert resolve(resumption, call).refusal_reason == UNKNOWN_ORIGIN_REASON
 
 
 def test_stream_of_another_service_is_refused():
     resumption, _, _ = make_resumption(["v1"], service="calls")
-    assert resumption.resolve(make_call()).refusal_reason == OTHER_SERVICE_REASON
+    assert resolve(resumption, make_call()).refusal_reason == OTHER_SERVICE_REASON
 
 
 # Guards against: all engines were replaced a moment ago, and old streams join the new.
@@ -95,9 +145,105 @@
         directory.remove("e0")
         directory.put(Engine("e1", "chat", "10.0.0.1:1", "a", version="v2"))
     call = make_call(resumes="unknown")
-    assert resumption.resolve(call).refusal_reason == UNKNOWN_ORIGIN_REASON
+    assert resolve(resumption, call).refusal_reason == UNKNOWN_ORIGIN_REASON
     clock.advance(RETENTION_SECONDS + 1.0)
-    assert resumption.resolve(call) == Resumption("chat", "v2")
+    resumption._state.confirm(1)
+    assert resolve(resumption, call) == Resumption("chat", "v2")
+
+
+# Guards against: a VM takes having seen one version for there having been only one.
+@pytest.mark.parametrize(
+    ("known_for_s", "silent_s", "goes_on"),
+    [
+        (0.0, 0.0, False),
+        (5.0, 0.0, False),
+        (RETENTION_SECONDS - 0.1, 0.0, False),
+        (RETENTION_SECONDS + 0.1, 0.0, True),
+        (60.0, 10.0, False),
+    ],
+)
+def test_one_version_counts_only_if_it_is_known_for_long(
+    known_for_s, silent_s, goes_on
+):
+    resumption, _, clock = make_resumption(["v1"], known_for_s=known_for_s)
+    clock.advance(silent_s)
+    call = make_call(resumes="unknown")
+    refusal = Resumption("chat", refusal_reason=UNKNOWN_ORIGIN_REASON)
+    assert resolve(resumption, call) == (
+        Resumption("chat", "v1") if goes_on else refusal
+    )
+
+
+# Guards against: streams that began before all VMs were lost are all refused.
+@pytest.mark.parametrize(
+    ("parts_by_id", "parts", "version"),
+    [
+        ({"e0": ["system", "own"], "e1": ["system"]}, ("system", "own"), "v1"),
+        ({"e0": ["system"], "e1": ["own"]}, ("system", "own"), "v2"),
+        ({"e1": ["own"]}, ("system", "own"), "v2"),
+        ({"e0": ["own"], "e2": ["own"]}, ("system", "own"), "v1"),
+        ({"e0": ["own"], "e1": ["own"]}, ("system", "own"), None),
+        ({"e0": ["system"], "e1": ["system"]}, ("system", "own"), None),
+        ({}, ("system", "own"), None),
+        ({"e0": ["own"]}, ("own",), None),
+        ({"e0": ["own"]}, (), None),
+    ],
+)
+def test_stream_goes_on_at_the_version_that_has_its_prompt_cached(
+    parts_by_id, parts, version
+):
+    resumption, _, _ = make_resumption(
+        ["v1", "v2", "v1"], known_for_s=1.0, caches=Caches(parts_by_id)
+    )
+    found = resolve(resumption, make_call(resumes="unknown", parts=parts))
+    assert found.version == version
+    assert bool(found.refusal_reason) == (version is None)
+    if version is not None:
+        # Known from now on, and told to the peers.
+        origin = resumption._origins.find("packers", "unknown")
+        assert origin == StreamOrigin("chat", version)
+
+
+# Guards against: each stream that is taken up costs engines the listing of a cache.
+@pytest.mark.parametrize(
+    ("resumes", "ttl_s"),
+    [("unknown", LIST_TTL_SECONDS), ("", UNNAMED_LIST_TTL_SECONDS)],
+)
+def test_caches_are_listed_by_few_engines_and_again_only_after_a_while(resumes, ttl_s):
+    async def play():
+        count = 40
+        caches = Caches({f"e{n}": [f"own{n}"] for n in range(count)})
+        _, directory, clock = make_resumption(["v1"] * count)
+        finder = CachedPromptFinder(clock, directory, caches.read)
+        calls = [make_call("7", resumes, parts=("system", f"new{n}")) for n in range(9)]
+        await asyncio.gather(*(finder.find_versions(call) for call in calls))
+        assert len(caches.asked) == len(set(caches.asked)) == MAX_ASKED
+        clock.advance(ttl_s - 0.1)
+        await finder.find_versions(calls[1])
+        assert len(caches.asked) == MAX_ASKED
+        clock.advance(0.2)
+        await finder.find_versions(calls[0])
+        assert len(caches.asked) == 2 * MAX_ASKED
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("body", "parts"),
+    [
+        (b'{"held": [["", "a", 5, "m"], ["", "b", 1, "m"]]}', {"a", "b"}),
+        (b'{"held": [["", 7], [], "ab", null, {}, ["", "b"]]}', {"b"}),
+        (b'{"held": []}', set()),
+    ],
+)
+def test_cache_list_is_decoded(body, parts):
+    assert decode_cache_list(body) == parts
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"held": 1}', b"[" * 100_000])
+def test_invalid_cache_list_is_an_error(body):
+    with pytest.raises(PlatformError):
+        decode_cache_list(body)
 
 
 def test_origins_are_forgotten_after_their_time_and_beyond_their_number():
@@ -132,3 +278,38 @@
     for gateway in fleet.gateway_by_address.values():
         found = [gateway.stream_origins.find("packers", r) for r in recent]
         assert found == [ORIGIN] * len(recent)
+
+
+# Guards against: a VM that hears from one that knows nothing believes to know all.
+@pytest.mark.parametrize("vms", [2, 9, 60])
+def test_history_of_versions_is_as_long_as_that_of_the_vm_that_ran_longest(vms):
+    fleet = make_fleet(vms)
+    old = Engine("e1", "chat", "10.0.0.1:1", "a", version="v1")
+    new = Engine("e2", "chat", "10.0.0.2:1", "a", version="v2")
+    for gateway in fleet.gateway_by_address.values():
+        gateway.state.directory.replace_all([old], may_be_incomplete=False)
+    fleet.run(RETENTION_SECONDS + 5.0)
+    addresses = list(fleet.gateway_by_address)
+
+    def restart(lost):
+        for address in lost:
+            fleet.restart(address)
+        for address in addresses:
+            directory = fleet.gateway_by_address[address].state.directory
+            directory.replace_all([new], may_be_incomplete=False)
+        fleet.run(8.0)
+
+    def histories():
+        directories = [g.state.directory for g in fleet.gateway_by_address.values()]
+        return [
+            (
+                d.version_history.reaches_back(RETENTION_SECONDS),
+                d.recent_versions("chat", RETENTION_SECONDS),
+            )
+            for d in directories
+        ]
+
+    restart(addresses[1:])
+    assert histories() == [(True, {"v1", "v2"})] * vms
+    restart(addresses)
+    assert histories() == [(False, {"v2"})] * vms
