--- a/tests/harness/crash_drill/drill.py
+++ b/tests/harness/crash_drill/drill.py
@@ -30,6 +30,8 @@
 MAX_LATE_ARRIVALS = 3
 # The promise covers the requests of gateways that have run for this long.
 CONTACT_SECONDS = 3.0
+# The id of a caller's second attempt is that of the first one with this.
+RETRY_SUFFIX = "-retry"
 BAN_EVENTS = {Event.REQUEST_BANNED.number, Event.PART_BANNED.number}
 ROUTES = {
     "safe": {"kind": "safe", "max_attempts": 2},
@@ -73,6 +75,8 @@
 class CallRecord:
     """A call of a caller and the status of its attempts, 0 without a response.
 
+    ``vm`` got the first attempt, and ``retry_vm`` the second one, at ``retry_at``, if there was one.
+
     ``fault`` names what crashes engines in it, and is empty for a sound one.
     ``status`` is that of the last attempt if it is complete, ``first_status`` that of
     the first one as soon as its head has come, which took ``first_seconds``.
@@ -85,6 +89,8 @@
     status: int = 0
     first_status: int = 0
     first_seconds: float = 0.0
+    retry_vm: str = ""
+    retry_at: float = 0.0
 
     @property
     def crashes(self) -> bool:
@@ -358,7 +364,9 @@
         record.status = await self._exchange(gateway, path, body, headers, began)
         if record.status != 200 and not record.crashes:
             gateway = self.random.choice(self.gateways)
-            headers["Request-Id"] = f"{record.request_id}-retry"
+            record.retry_vm = gateway.process.name
+            record.retry_at = time.monotonic()
+            headers["Request-Id"] = record.request_id + RETRY_SUFFIX
             record.status = await self._exchange(gateway, path, body, headers)
 
     async def _exchange(
