Read what an engine says of itself in one place

Load and rate limit were decoded by two functions and passed through the attempt one by one; leaving and a wanted pause would have been a third and a fourth. Now the adapter decodes one EngineStatus from a response's headers, and EngineStatusRecorder passes its parts on, with the rule which responses count in one place. No change in behaviour. Also breaks a line of the drill that the linter refuses.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -15,6 +15,7 @@
 from dotterelpitch.gateway.cached_prompt_finder import CachedPromptFinder
 from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.gateway.digest_exchange import DigestExchange
+from dotterelpitch.gateway.engine_status_recorder import EngineStatusRecorder
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.forwarding import Forwarder
 from dotterelpitch.gateway.ingress import Ingress
@@ -112,7 +113,7 @@
                 self.pool,
                 self.concurrency_limiter,
                 self.crash_watcher,
-                self.rate_limits.registry,
+                EngineStatusRecorder(self.rate_limits.registry),
                 stream_resumption,
             ),
             self.rate_limits,
--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -9,15 +9,15 @@
 from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.call import Call, ResponseWriter
 from dotterelpitch.gateway.crash_watcher import CrashWatcher
+from dotterelpitch.gateway.engine_status_recorder import EngineStatusRecorder
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
 from dotterelpitch.gateway.stream_resumption import StreamResumption
+from dotterelpitch.platform.engine_status import decode_engine_status
 from dotterelpitch.platform.headers import (
     EngineCall,
     Headers,
     ResponseClass,
     classify_response,
-    decode_load,
-    decode_rate_limit,
     encode_engine_headers,
     response_headers,
 )
@@ -25,7 +25,6 @@
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
 from dotterelpitch.routing.engine_choice import EngineChoice
 from dotterelpitch.routing.health import FailureKind
-from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.upstream.connection import EngineConnection, HttpResponseHead
 from dotterelpitch.upstream.errors import (
@@ -91,14 +90,14 @@
         pool: ConnectionPool,
         concurrency_limiter: AdaptiveConcurrencyLimiter,
         crash_watcher: CrashWatcher,
-        rate_limits: RateLimitRegistry,
+        status_recorder: EngineStatusRecorder,
         stream_resumption: StreamResumption,
     ) -> None:
         self._clock = clock
         self._pool = pool
         self._concurrency_limiter = concurrency_limiter
         self._crash_watcher = crash_watcher
-        self._rate_limits = rate_limits
+        self._status_recorder = status_recorder
         self._stream_resumption = stream_resumption
 
     async def run(
@@ -130,7 +129,7 @@
         observer = AttemptObserver(
             self._concurrency_limiter,
             self._crash_watcher,
-            self._rate_limits,
+            self._status_recorder,
             self._stream_resumption,
             call,
             engine,
@@ -188,11 +187,7 @@
         async with asyncio.timeout(self._seconds_until(limits.answer_by)):
             head = await connection.read_head()
         response_class = classify_response(head.status, head.value_by_name)
-        observer.head_received(
-            response_class,
-            decode_load(head.value_by_name),
-            decode_rate_limit(head.headers),
-        )
+        observer.head_received(response_class, decode_engine_status(head.headers))
         if response_class is not ResponseClass.ANSWERED:
             body = await self._read_buffered(connection, limits)
             if len(body) >= MAX_BUFFERED_BYTES:
--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -8,8 +8,10 @@
 
 from dotterelpitch.gateway.call import Call
 from dotterelpitch.gateway.crash_watcher import CrashWatcher
+from dotterelpitch.gateway.engine_status_recorder import EngineStatusRecorder
 from dotterelpitch.gateway.stream_resumption import StreamResumption
-from dotterelpitch.platform.headers import ReportedLoad, ResponseClass
+from dotterelpitch.platform.engine_status import EngineStatus
+from dotterelpitch.platform.headers import ResponseClass
 from dotterelpitch.routing.concurrency_limiter import (
     AdaptiveConcurrencyLimiter,
     InFlightRequest,
@@ -17,15 +19,8 @@
 )
 from dotterelpitch.routing.crash_detector import UnansweredAttempt
 from dotterelpitch.routing.engines import Engine
-from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
 from dotterelpitch.telemetry.events import Event, log_event
 
-# The classes of responses that tell an engine's limit, by whether they name one.
-_CLASSES_BY_IS_NAMED = {
-    True: {ResponseClass.ANSWERED, ResponseClass.NOT_RUN, ResponseClass.FAILED},
-    False: {ResponseClass.ANSWERED},
-}
-
 
 @define
 class AttemptObserver:
@@ -37,7 +32,7 @@
 
     _concurrency_limiter: AdaptiveConcurrencyLimiter
     _crash_watcher: CrashWatcher
-    _rate_limits: RateLimitRegistry
+    _status_recorder: EngineStatusRecorder
     _stream_resumption: StreamResumption
     _call: Call
     _engine: Engine
@@ -57,32 +52,16 @@
         )
 
     def head_received(
-        self,
-        response_class: ResponseClass,
-        load: ReportedLoad | None,
-        rate_limit: float | None,
+        self, response_class: ResponseClass, status: EngineStatus
     ) -> None:
-        """Record the head of the response; a rejection counts as late.
-
-        ``rate_limit`` is the limit that it names, in requests per second, or None.
-        """
+        """Record the head of the response; a rejection counts as late."""
         self.data_received()
-        self._record_rate_limit(response_class, rate_limit)
-        if load is not None:
-            self._is_crowded = load.is_crowded
+        self._status_recorder.record(self._engine, response_class, status)
+        if status.load is not None:
+            self._is_crowded = status.load.is_crowded
         if response_class is ResponseClass.NOT_RUN:
             self._concurrency_limiter.request_rejected(self._request)
 
-    def _record_rate_limit(
-        self, response_class: ResponseClass, rate_limit: float | None
-    ) -> None:
-        """Record the limit of a response that is the engine's own.
-
-        Only a proper answer without a limit shows that there is none any more.
-        """
-        if response_class in _CLASSES_BY_IS_NAMED[rate_limit is not None]:
-            self._rate_limits.record_response(self._engine, rate_limit)
-
     def data_received(self) -> None:
         """Record bytes of the response."""
         self._crash_watcher.heard_from(self._engine)
--- /dev/null
+++ b/dotterelpitch/platform/engine_status.py
@@ -0,0 +1,69 @@
+"""Decodes what an engine says of itself in the headers of a response."""
+
+import re
+from collections.abc import Iterable
+
+from attrs import frozen
+
+_SERVER_LOAD = "server-load"
+_SERVER_LIMIT = "server-limit"
+
+_DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+
+
+@frozen
+class ReportedLoad:
+    """The load that an engine reports, as numbers of requests and slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether requests are waiting or at least half of the slots are in use."""
+        return self.waiting > 0 or 2 * self.running >= self.slots
+
+
+@frozen
+class EngineStatus:
+    """What an engine says of itself with a response; None is what it doesn't say.
+
+    ``rate_limit`` is how many requests per second it takes from all VMs.
+    """
+
+    load: ReportedLoad | None = None
+    rate_limit: float | None = None
+
+
+def decode_engine_status(headers: Iterable[tuple[str, str]]) -> EngineStatus:
+    """Return what an engine says of itself in the headers of a response.
+
+    A value that is invalid, or a limit that is named twice, counts as absent.
+
+    >>> decode_engine_status([("Server-Limit", "2.5")]).rate_limit
+    2.5
+    """
+    values_by_name: dict[str, list[str]] = {}
+    for name, value in headers:
+        values_by_name.setdefault(name.lower(), []).append(value.strip())
+    return EngineStatus(
+        load=_decode_load(values_by_name.get(_SERVER_LOAD, [])),
+        rate_limit=_decode_number(values_by_name.get(_SERVER_LIMIT, [])),
+    )
+
+
+def _decode_load(values: list[str]) -> ReportedLoad | None:
+    """Return the last load named, or None if it isn't three whole numbers."""
+    try:
+        running, waiting, slots = map(int, values[-1].split(",") if values else ())
+    except ValueError:
+        return None
+    return ReportedLoad(running, waiting, slots)
+
+
+def _decode_number(values: list[str]) -> float | None:
+    """Return the only value as a plain decimal number, or None."""
+    if len(values) != 1 or not _DECIMAL_NUMBER.fullmatch(values[0]):
+        return None
+    return float(values[0])
--- a/dotterelpitch/platform/headers.py
+++ b/dotterelpitch/platform/headers.py
@@ -4,7 +4,6 @@
 product may set are never forwarded from a caller.
 """
 
-import re
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
 
@@ -17,11 +16,8 @@
 _RESPONSE_SEAL = "response-seal"
 _NOT_EXECUTED = "not-executed"
 _SERVER_LOAD = "server-load"
-_SERVER_LIMIT = "server-limit"
 _INSTANCE_ID = "instance-id"
 
-_DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
-
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -95,20 +91,6 @@
     cache_source: str = ""
 
 
-@frozen
-class ReportedLoad:
-    """The load that an engine reports, as numbers of requests and slots."""
-
-    running: int
-    waiting: int
-    slots: int
-
-    @property
-    def is_crowded(self) -> bool:
-        """Whether requests are waiting or at least half of the slots are in use."""
-        return self.waiting > 0 or 2 * self.running >= self.slots
-
-
 class ResponseClass(StrEnum):
     """What the head of an engine's response means for the request.
 
@@ -182,31 +164,6 @@
     return ResponseClass.ANSWERED
 
 
-def decode_load(value_by_name: Mapping[str, str]) -> ReportedLoad | None:
-    """Return the load reported with a response, or None when it is absent."""
-    try:
-        running, waiting, slots = map(
-            int, value_by_name.get(_SERVER_LOAD, "").split(",")
-        )
-    except ValueError:
-        return None
-    return ReportedLoad(running, waiting, slots)
-
-
-def decode_rate_limit(headers: Iterable[tuple[str, str]]) -> float | None:
-    """Return the requests per second that an engine takes, or None if it names none.
-
-    A value that isn't a plain decimal number, or that is named twice, counts as none.
-
-    >>> decode_rate_limit([("Server-Limit", "2.5")])
-    2.5
-    """
-    values = [value for name, value in headers if name.lower() == _SERVER_LIMIT]
-    if len(values) != 1 or not _DECIMAL_NUMBER.fullmatch(values[0].strip()):
-        return None
-    return float(values[0])
-
-
 def decode_engine_id(value_by_name: Mapping[str, str]) -> str:
     """Return the id in an engine's response to a health request, or ""."""
     return value_by_name.get(_INSTANCE_ID, "")
--- a/tests/harness/crash_drill/drill.py
+++ b/tests/harness/crash_drill/drill.py
@@ -75,7 +75,8 @@
 class CallRecord:
     """A call of a caller and the status of its attempts, 0 without a response.
 
-    ``vm`` got the first attempt, and ``retry_vm`` the second one, at ``retry_at``, if there was one.
+    ``vm`` got the first attempt, and ``retry_vm`` the second one, at ``retry_at``, if
+    there was one.
 
     ``fault`` names what crashes engines in it, and is empty for a sound one.
     ``status`` is that of the last attempt if it is complete, ``first_status`` that of
--- a/tests/test_rate_limit_registry.py
+++ b/tests/test_rate_limit_registry.py
@@ -3,7 +3,7 @@
 import pytest
 
 from dotterelpitch.clock import ManualClock
-from dotterelpitch.platform.headers import decode_rate_limit
+from dotterelpitch.platform.engine_status import decode_engine_status
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.rate_limit_registry import ObservedLimit, RateLimitRegistry
@@ -34,7 +34,7 @@
 )
 def test_only_one_plain_decimal_number_names_a_limit(values, expected):
     headers = [("Other", "1"), *(("SERVER-LIMIT", value) for value in values)]
-    assert decode_rate_limit(headers) == expected
+    assert decode_engine_status(headers).rate_limit == expected
 
 
 @pytest.mark.parametrize(
