Send nothing new to an engine that says that it leaves, at any VM

Now the word is part of an engine's status, in successes, failures, rejections, and status checks, but not in a 421 or an unproved answer, which another engine may have sent. It holds for that run whatever the registry says (leaving_engines.py): still ready, away, back from an older copy, dropped and added again. Another start or id is another run. VMs are told at once; streams that run there go on.

What VMs tell one another in messages of their own has one interface now (peer_exchange.py): a further kind is a class and an entry in a list.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -19,6 +19,7 @@
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.forwarding import Forwarder
 from dotterelpitch.gateway.ingress import Ingress
+from dotterelpitch.gateway.leaving_engine_exchange import LeavingEngineExchange
 from dotterelpitch.gateway.link import LinkTable
 from dotterelpitch.gateway.link_topology import LinkTopology
 from dotterelpitch.gateway.listeners import Listeners
@@ -90,7 +91,13 @@
         self.pool = ConnectionPool(self._clock)
         engine_tracker = self.engine_tracker
         self.state.directory.on_restart = engine_tracker.record_engine_restart
-        self.crash_watcher = CrashWatcher(self._clock, self.state, engine_tracker)
+        status_recorder = EngineStatusRecorder(self.state, self.rate_limits.registry)
+        self.crash_watcher = CrashWatcher(
+            self._clock,
+            self.state,
+            engine_tracker,
+            record_status=status_recorder.record_check,
+        )
         chooser = EngineChooser(
             self.state.directory,
             self.loads,
@@ -113,7 +120,7 @@
                 self.pool,
                 self.concurrency_limiter,
                 self.crash_watcher,
-                EngineStatusRecorder(self.rate_limits.registry),
+                status_recorder,
                 stream_resumption,
             ),
             self.rate_limits,
@@ -197,6 +204,16 @@
             self.engine_tracker,
             self._reader_selection,
         )
+        rate_limits = RateLimitExchange(
+            self._clock, self.state, self._topology, fleet, self.rate_limits
+        )
+        exchanges = [
+            LeavingEngineExchange(self.state),
+            rate_limits,
+            StreamOriginExchange(self._topology, self.stream_origins),
+            # Last: whoever believes this history has been told of the streams.
+            VersionHistoryExchange(self._clock, self.state),
+        ]
         peer_links = PeerLinks(
             self._identity,
             self._clock,
@@ -207,11 +224,8 @@
             digests,
             RecordExchange(self._clock, self.state, self._reader_selection),
             self._reader_selection,
-            RateLimitExchange(
-                self._clock, self.state, self._topology, fleet, self.rate_limits
-            ),
-            StreamOriginExchange(self._topology, self.stream_origins),
-            VersionHistoryExchange(self._clock, self.state),
+            exchanges,
+            rate_limits.update_contact_share,
             self.loads,
             self.retry_budget,
             self._settings.digest_seconds,
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -8,10 +8,12 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.platform.engine_status import EngineStatus
 from dotterelpitch.routing.crash_detector import UnansweredAttempt
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.health import FailureKind
@@ -24,6 +26,7 @@
 MIN_CHECK_INTERVAL_SECONDS = 1.5
 
 RunCheck = Callable[[EngineCheck], Awaitable[CheckResult]]
+RecordStatus = Callable[[Engine, EngineStatus], None]
 
 # The results that mean that the engine's run has ended.
 _FAILURE_BY_RESULT = {
@@ -35,9 +38,15 @@
 }
 
 
+def _ignore(engine: Engine, status: EngineStatus) -> None:
+    """Ignore what an engine says of itself."""
+
+
 class CrashWatcher:
     """Checks engines that leave requests unanswered; at most one check at a time each.
 
+    ``record_status`` is called with what an engine says of itself when checked.
+
     >>> task = asyncio.create_task(keep_running("crashes", watcher.run))
     """
 
@@ -47,12 +56,14 @@
         state: GatewayState,
         tracker: EngineTracker,
         run_check: RunCheck = EngineCheck.run,
+        record_status: RecordStatus = _ignore,
     ) -> None:
         self._clock = clock
         self._state = state
         self._tracker = tracker
         self._detector = tracker.crash_detector
         self._run_check = run_check
+        self._record_status = record_status
         self._task_by_engine: dict[str, asyncio.Task] = {}
         self._checked_at_by_engine: dict[str, float] = {}
 
@@ -143,6 +154,7 @@
             engine.address,
             self._health_path(engine),
             is_needed=lambda: not self._detector.has_outlived(engine.id, began),
+            on_status=partial(self._record_status, engine),
         )
         result = await self._run_check(check)
         log_event(
--- a/dotterelpitch/gateway/engine_status_recorder.py
+++ b/dotterelpitch/gateway/engine_status_recorder.py
@@ -2,6 +2,7 @@
 
 from attrs import define
 
+from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.platform.engine_status import EngineStatus
 from dotterelpitch.platform.headers import ResponseClass
 from dotterelpitch.routing.engines import Engine
@@ -16,14 +17,25 @@
 class EngineStatusRecorder:
     """Passes each part of an engine's status on to what decides by it."""
 
+    _state: GatewayState
     _rate_limits: RateLimitRegistry
 
     def record(
         self, engine: Engine, response_class: ResponseClass, status: EngineStatus
     ) -> None:
         """Record what an engine has said with a response of this class."""
-        if response_class in _OWN_CLASSES:
-            self._record_rate_limit(engine, response_class, status.rate_limit)
+        if response_class not in _OWN_CLASSES:
+            return
+        self._record_rate_limit(engine, response_class, status.rate_limit)
+        if status.is_leaving:
+            self._state.record_leaving(engine.run)
+
+    def record_check(self, engine: Engine, status: EngineStatus) -> None:
+        """Record what an engine has said when asked for a sign of life.
+
+        Nothing has run, so the absence of a limit says nothing.
+        """
+        self.record(engine, ResponseClass.NOT_RUN, status)
 
     def _record_rate_limit(
         self, engine: Engine, response_class: ResponseClass, limit: float | None
--- a/dotterelpitch/gateway/link.py
+++ b/dotterelpitch/gateway/link.py
@@ -17,7 +17,8 @@
     limits and for the counts of requests, and ``contact_share_sent`` is the share of
     the fleet in contact that was sent last. ``origins_sent`` is the number of the last
     batch of stream origins sent, and ``versions_sent`` the update count of the history
-    of versions sent last. ``list_sent`` is the last fleet list sent and
+    of versions sent last. ``leaving_sent`` is the same of the engines that leave by
+    their own word. ``list_sent`` is the last fleet list sent and
     ``list_sent_at`` its time on the monotonic clock, in seconds.
     """
 
@@ -31,6 +32,7 @@
     contact_share_sent: float = 1.0
     origins_sent: int = 0
     versions_sent: int = 0
+    leaving_sent: int = 0
     list_sent: tuple[FleetVm, ...] = ()
     list_sent_at: float = float("-inf")
 
--- a/dotterelpitch/gateway/peer_links.py
+++ b/dotterelpitch/gateway/peer_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Callable, Sequence
 from functools import partial
 
 from dotterelpitch.clock import Clock
@@ -12,12 +13,10 @@
 from dotterelpitch.gateway.link import Link, LinkTable
 from dotterelpitch.gateway.link_topology import LinkTopology
 from dotterelpitch.gateway.peer_directory import PeerDirectory
-from dotterelpitch.gateway.rate_limit_exchange import RateLimitExchange
+from dotterelpitch.gateway.peer_exchange import PeerExchange
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.state import GatewayState
-from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
-from dotterelpitch.gateway.version_history_exchange import VersionHistoryExchange
 from dotterelpitch.protocol.connection import dial
 from dotterelpitch.protocol.gateway_messages import (
     FetchRecords,
@@ -25,9 +24,6 @@
     GatewayDigest,
     LinkOpened,
     OpenLink,
-    RateLimitDigest,
-    StreamOriginDigest,
-    VersionHistoryDigest,
 )
 from dotterelpitch.protocol.handshake import Identity
 from dotterelpitch.protocol.server import HandlerTable
@@ -48,7 +44,11 @@
 
 
 class PeerLinks:
-    """Opens links to peers, accepts theirs, and sends digests on all of them."""
+    """Opens links to peers, accepts theirs, and sends digests on all of them.
+
+    ``exchanges`` are told in their order. ``update_contact_share`` is called before
+    each round of digests.
+    """
 
     def __init__(
         self,
@@ -61,9 +61,8 @@
         digests: DigestExchange,
         records: RecordExchange,
         reader_selection: ReaderSelection,
-        rate_limits: RateLimitExchange,
-        stream_origins: StreamOriginExchange,
-        version_history: VersionHistoryExchange,
+        exchanges: Sequence[PeerExchange],
+        update_contact_share: Callable[[], None],
         loads: FleetLoads,
         retry_budget: FleetRetryBudget,
         digest_period_s: float,
@@ -77,9 +76,9 @@
         self._digests = digests
         self._records = records
         self._reader_selection = reader_selection
-        self._rate_limits = rate_limits
-        self._stream_origins = stream_origins
-        self._version_history = version_history
+        self._exchanges = exchanges
+        self._exchange_by_type = {e.message_type: e for e in exchanges}
+        self._update_contact_share = update_contact_share
         self._loads = loads
         self._retry_budget = retry_budget
         self._digest_period_s = digest_period_s
@@ -119,7 +118,7 @@
         # The count never shrinks: during a partition each part of the fleet leaves the
         # other part's share of the retry budget unused.
         self._max_vms_seen = max(self._max_vms_seen, len(self._fleet.known()))
-        self._rate_limits.update_contact_share()
+        self._update_contact_share()
         if self._max_vms_seen > 1:
             self._retry_budget.set_vm_count(self._max_vms_seen)
 
@@ -186,12 +185,8 @@
                     self._fleet.record_list(link.peer.name, message.vms)
                 elif isinstance(message, GatewayDigest):
                     self._apply_digest(link, message)
-                elif isinstance(message, RateLimitDigest):
-                    self._rate_limits.apply(link, message)
-                elif isinstance(message, StreamOriginDigest):
-                    self._stream_origins.apply(link, message)
-                elif isinstance(message, VersionHistoryDigest):
-                    self._version_history.apply(link, message)
+                elif type(message) in self._exchange_by_type:
+                    self._exchange_by_type[type(message)].apply(link, message)
                 else:
                     return
         finally:
@@ -221,11 +216,6 @@
             link.list_sent = vms
             link.list_sent_at = now
         connection.write(link.stream.number, self._digests.make(link))
-        # The history comes last: whoever believes it has been told of the streams.
-        for exchange in (
-            self._rate_limits,
-            self._stream_origins,
-            self._version_history,
-        ):
-            if (digest := exchange.make(link)) is not None:
+        for exchange in self._exchanges:
+            if (digest := exchange.message_for(link)) is not None:
                 connection.write(link.stream.number, digest)
--- a/dotterelpitch/gateway/rate_limit_exchange.py
+++ b/dotterelpitch/gateway/rate_limit_exchange.py
@@ -7,6 +7,7 @@
 from dotterelpitch.gateway.link import Link
 from dotterelpitch.gateway.link_topology import LinkTopology
 from dotterelpitch.gateway.peer_directory import PeerDirectory
+from dotterelpitch.gateway.peer_exchange import PeerExchange
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.protocol.gateway_messages import (
     RATE_LIMITS_LINK_VERSION,
@@ -34,9 +35,12 @@
 }
 
 
-class RateLimitExchange:
+class RateLimitExchange(PeerExchange[RateLimitDigest]):
     """Creates this gateway's rate limit digests and applies those of its peers."""
 
+    message_type = RateLimitDigest
+    link_version = RATE_LIMITS_LINK_VERSION
+
     def __init__(
         self,
         clock: Clock,
@@ -63,12 +67,7 @@
         self._rate_limits.limiter.fleet_share = share
 
     def make(self, link: Link) -> RateLimitDigest | None:
-        """Return what a peer must be told now, and mark it as sent; None if nothing.
-
-        A peer of an older version isn't told anything.
-        """
-        if link.peer.link_version < RATE_LIMITS_LINK_VERSION:
-            return None
+        """Return what a peer must be told now, and mark it as sent; None if nothing."""
         registry, counts = self._rate_limits.registry, self._rate_limits.counts
         link.rate_limits_sent, limits = registry.updates_after(link.rate_limits_sent)
         total = counts.since(
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -9,7 +9,8 @@
 from dotterelpitch.platform.config_record import CONFIG_KEY, ConfigDecoder
 from dotterelpitch.platform.engine_record import ENGINE_PREFIX, decode_engine
 from dotterelpitch.platform.store import StoreRecord, StoreResponse
-from dotterelpitch.routing.engines import Engine, EngineDirectory
+from dotterelpitch.routing.engines import Engine, EngineDirectory, EngineRun
+from dotterelpitch.routing.leaving_engines import LeavingEngines
 from dotterelpitch.routing.route_table import RoutingConfig
 from dotterelpitch.telemetry.events import Event, log_event
 
@@ -20,6 +21,8 @@
 class GatewayState:
     """The config and the engines, built from records of the store or of a peer.
 
+    What engines say of their leaving goes before their records.
+
     A config is replaced only by one with a higher version. An invalid config record
     leaves the current config in force; an invalid engine record removes the engine.
 
@@ -32,6 +35,8 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.directory = EngineDirectory(clock)
+        self.leaving_engines = LeavingEngines(clock)
+        self.directory.is_known_to_leave = self.leaving_engines.__contains__
         self._config_decoder = ConfigDecoder()
         self.config: RoutingConfig | None = None
         self.has_config = asyncio.Event()
@@ -119,8 +124,18 @@
             Event.RECORDS_OLDER_IGNORED, offered=response.revision, held=self.revision
         )
 
+    def record_leaving(self, run: EngineRun, peer: str = "") -> None:
+        """Record that an engine has said that it leaves, here or to ``peer``."""
+        if self.leaving_engines.record(run, peer):
+            self.directory.update(run)
+            self.notify_peers()
+
     def expire(self) -> None:
-        """Remove the engines that have not re-registered after a store outage."""
+        """Remove the engines that have not re-registered after a store outage.
+
+        What engines that are gone have said of their leaving is forgotten.
+        """
+        self.leaving_engines.retain(e.run for e in self.directory.engine_by_id.values())
         for engine_id in self.directory.expire():
             self.record_by_key.pop(ENGINE_PREFIX + engine_id, None)
             log_event(Event.ENGINE_MISSING, engine=engine_id, action="removed")
@@ -175,8 +190,9 @@
             return
         before = self.directory.engine_by_id.get(engine.id)
         self.directory.put(engine)
-        if before != engine:
-            _log_engine(engine, before)
+        after = self.directory.engine_by_id[engine.id]
+        if before != after:
+            _log_engine(after, before)
 
     def _decode_engine(self, record: StoreRecord) -> Engine | None:
         try:
--- a/dotterelpitch/gateway/stream_origin_exchange.py
+++ b/dotterelpitch/gateway/stream_origin_exchange.py
@@ -2,6 +2,7 @@
 
 from dotterelpitch.gateway.link import Link
 from dotterelpitch.gateway.link_topology import LinkTopology
+from dotterelpitch.gateway.peer_exchange import PeerExchange
 from dotterelpitch.protocol.gateway_messages import (
     STREAM_ORIGINS_LINK_VERSION,
     StreamOriginDigest,
@@ -10,9 +11,12 @@
 from dotterelpitch.routing.stream_origins import StreamOrigin, StreamOrigins
 
 
-class StreamOriginExchange:
+class StreamOriginExchange(PeerExchange[StreamOriginDigest]):
     """Creates this gateway's digests of stream origins and applies its peers'."""
 
+    message_type = StreamOriginDigest
+    link_version = STREAM_ORIGINS_LINK_VERSION
+
     def __init__(self, topology: LinkTopology, origins: StreamOrigins) -> None:
         self._topology = topology
         self._origins = origins
@@ -22,8 +26,6 @@
 
         A new peer is told of all streams, since it may have started only now.
         """
-        if link.peer.link_version < STREAM_ORIGINS_LINK_VERSION:
-            return None
         link.origins_sent, begun = self._origins.since(
             link.origins_sent,
             lambda source: self._topology.passes_on(link, source),
--- a/dotterelpitch/gateway/version_history_exchange.py
+++ b/dotterelpitch/gateway/version_history_exchange.py
@@ -2,6 +2,7 @@
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.link import Link
+from dotterelpitch.gateway.peer_exchange import PeerExchange
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.protocol.gateway_messages import (
     VERSION_HISTORY_LINK_VERSION,
@@ -13,9 +14,12 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
-class VersionHistoryExchange:
+class VersionHistoryExchange(PeerExchange[VersionHistoryDigest]):
     """Creates this gateway's digests of version history and applies its peers'."""
 
+    message_type = VersionHistoryDigest
+    link_version = VERSION_HISTORY_LINK_VERSION
+
     def __init__(self, clock: Clock, state: GatewayState) -> None:
         self._clock = clock
         self._directory = state.directory
@@ -23,14 +27,11 @@
     def make(self, link: Link) -> VersionHistoryDigest | None:
         """Return the whole history if it has changed; None if not.
 
-        A peer of an older version isn't told anything, and none is told by a VM that
-        has no list of engines yet.
+        None is told by a VM that has no list of engines yet.
         """
         history = self._directory.version_history
         is_sent = link.versions_sent == history.update_count
-        if link.peer.link_version < VERSION_HISTORY_LINK_VERSION or is_sent:
-            return None
-        if not history.has_started:
+        if is_sent or not history.has_started:
             return None
         link.versions_sent = history.update_count
         now = self._clock.monotonic()
--- a/dotterelpitch/platform/engine_status.py
+++ b/dotterelpitch/platform/engine_status.py
@@ -7,6 +7,7 @@
 
 _SERVER_LOAD = "server-load"
 _SERVER_LIMIT = "server-limit"
+_SERVER_LEAVING = "server-leaving"
 
 _DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
@@ -29,17 +30,20 @@
 class EngineStatus:
     """What an engine says of itself with a response; None is what it doesn't say.
 
-    ``rate_limit`` is how many requests per second it takes from all VMs.
+    ``rate_limit`` is how many requests per second it takes from all VMs, and
+    ``is_leaving`` whether it is about to end.
     """
 
     load: ReportedLoad | None = None
     rate_limit: float | None = None
+    is_leaving: bool = False
 
 
 def decode_engine_status(headers: Iterable[tuple[str, str]]) -> EngineStatus:
     """Return what an engine says of itself in the headers of a response.
 
-    A value that is invalid, or a limit that is named twice, counts as absent.
+    A value that is invalid, or a limit that is named twice, counts as absent. An engine
+    leaves if it says so and nothing else.
 
     >>> decode_engine_status([("Server-Limit", "2.5")]).rate_limit
     2.5
@@ -50,6 +54,7 @@
     return EngineStatus(
         load=_decode_load(values_by_name.get(_SERVER_LOAD, [])),
         rate_limit=_decode_number(values_by_name.get(_SERVER_LIMIT, [])),
+        is_leaving=set(values_by_name.get(_SERVER_LEAVING, [])) == {"1"},
     )
 
 
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -14,7 +14,9 @@
 STREAM_ORIGINS_LINK_VERSION = 2
 # The first one whose gateways understand VersionHistoryDigest.
 VERSION_HISTORY_LINK_VERSION = 3
-LINK_VERSION = VERSION_HISTORY_LINK_VERSION
+# The first one whose gateways understand LeavingEngineDigest.
+LEAVING_ENGINES_LINK_VERSION = 4
+LINK_VERSION = LEAVING_ENGINES_LINK_VERSION
 """The link version of this program."""
 
 
@@ -186,6 +188,21 @@
     listed: list[VersionListed] = field(factory=list)
 
 
+@frozen
+class LeavingEngine:
+    """The run of an engine that began at ``started_ms`` and has said that it leaves."""
+
+    engine: str
+    started_ms: int
+
+
+@message(81)
+class LeavingEngineDigest:
+    """Engines that leave by their own word, of which the receiver wasn't told yet."""
+
+    engines: list[LeavingEngine] = field(factory=list)
+
+
 @message(77)
 class FleetList:
     """The gateways that the sender reports as running; replaces its previous list."""
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable, Iterable
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.routing.version_history import ServiceVersion, VersionHistory
@@ -23,6 +23,14 @@
 DEFAULT_DRAIN_SECONDS = 2.0
 
 
+@frozen
+class EngineRun:
+    """One run of an engine, from ``started_ms``, which is 0 if unknown."""
+
+    engine_id: str
+    started_ms: int
+
+
 @frozen
 class Engine:
     """An engine as registered.
@@ -46,12 +54,22 @@
         """The service together with the software version."""
         return ServiceVersion(self.service, self.version)
 
+    @property
+    def run(self) -> EngineRun:
+        """This run of the engine."""
+        return EngineRun(self.id, self.started_ms)
+
     @property
     def run_id(self) -> str:
         """Id of this run of the engine, different after each restart."""
         return f"{self.id}@{self.started_ms}"
 
 
+def _never(run: EngineRun) -> bool:
+    """Return False: nothing is known of the run."""
+    return False
+
+
 @define
 class EngineDirectory:
     """Registered engines by id, and the recently deregistered ones.
@@ -59,6 +77,7 @@
     ``drain_s`` is the drain time of leaving engines in seconds. ``on_restart`` is
     called with the previous run of an engine that has registered with a later start.
     ``version_history`` holds the versions that were listed lately.
+    ``is_known_to_leave`` returns whether a run leaves whatever the registry says.
 
     >>> from dotterelpitch.clock import ManualClock
     >>> directory = EngineDirectory(ManualClock())
@@ -80,12 +99,15 @@
     _missing_since_by_id: dict[str, float] = field(factory=dict)
     _usable_by_service: dict[str, list[Engine]] = field(factory=dict)
     version_history: VersionHistory = field(init=False)
+    is_known_to_leave: Callable[[EngineRun], bool] = field(default=_never)
 
     def __attrs_post_init__(self) -> None:
         self.version_history = VersionHistory(self._clock)
 
     def put(self, engine: Engine) -> None:
         """Add an engine, or replace its entry with a newer one."""
+        if not engine.is_leaving and self.is_known_to_leave(engine.run):
+            engine = evolve(engine, is_leaving=True)
         self._missing_since_by_id.pop(engine.id, None)
         previous = self.engine_by_id.get(engine.id)
         if previous == engine:
@@ -106,6 +128,12 @@
         self.engine_by_id[engine.id] = engine
         self._usable_by_service.clear()
 
+    def update(self, run: EngineRun) -> None:
+        """Apply what has become known of a run, if it is the registered one."""
+        engine = self.engine_by_id.get(run.engine_id)
+        if engine is not None and engine.run == run:
+            self.put(engine)
+
     def remove(self, engine_id: str) -> None:
         """Remove an engine whose entry was deleted from the registry.
 
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -93,6 +93,7 @@
     RATE_LIMIT_CHANGED = (422, logging.INFO, "an engine names another rate limit")
     STREAM_ORIGIN_SOUGHT = (423, logging.INFO, "engines were asked who began a stream")
     CACHE_LIST_FAILED = (424, logging.WARNING, "an engine didn't list its cache")
+    ENGINE_LEAVING = (425, logging.INFO, "an engine has said that it leaves")
     LIMIT_MOVED = (416, logging.INFO, "the limit on requests in flight has changed")
     REQUEST_ENDED = (501, logging.INFO, "a request has its final outcome")
     REQUEST_REFUSED = (503, logging.WARNING, "a request was rejected before it ran")
--- a/dotterelpitch/upstream/engine_check.py
+++ b/dotterelpitch/upstream/engine_check.py
@@ -6,8 +6,9 @@
 
 from attrs import frozen
 
+from dotterelpitch.platform.engine_status import EngineStatus, decode_engine_status
 from dotterelpitch.platform.headers import decode_engine_id
-from dotterelpitch.upstream.connection import EngineConnection
+from dotterelpitch.upstream.connection import EngineConnection, HttpResponseHead
 from dotterelpitch.upstream.errors import (
     AnswerLostError,
     ConnectFailedError,
@@ -48,12 +49,17 @@
     SILENT = "silent"
 
 
+def _ignore(status: EngineStatus) -> None:
+    """Ignore what an engine says of itself."""
+
+
 @frozen
 class EngineCheck:
     """A check of one engine.
 
     ``is_needed`` returns whether the engine still hasn't given a sign of life
-    elsewhere. Times are in seconds.
+    elsewhere. ``on_status`` is called with what the engine says of itself. Times are in
+    seconds.
     """
 
     engine_id: str
@@ -62,6 +68,7 @@
     is_needed: Callable[[], bool]
     patience_s: float = PATIENCE_SECONDS
     timeout_s: float = CHECK_TIMEOUT_SECONDS
+    on_status: Callable[[EngineStatus], None] = _ignore
 
     async def run(self) -> CheckResult:
         """Return what a connection and a health request to the engine meet."""
@@ -83,11 +90,12 @@
             await asyncio.sleep(self.patience_s)
             if not self.is_needed():
                 return CheckResult.UNNEEDED
-            answering_id = await self._request_health(connection)
+            head = await self._request_health(connection)
         finally:
             connection.close()
-        if answering_id not in ("", self.engine_id):
+        if decode_engine_id(head.value_by_name) not in ("", self.engine_id):
             return CheckResult.REPLACED
+        self.on_status(decode_engine_status(head.headers))
         return CheckResult.RETURNED if failed_attempts else CheckResult.RESPONDED
 
     async def _connect(self) -> tuple[EngineConnection, int]:
@@ -102,10 +110,8 @@
             except ConnectTimeoutError:
                 failed_attempts += 1
 
-    async def _request_health(self, connection: EngineConnection) -> str:
-        """Return the id of the engine that answers, or "" if it doesn't say."""
+    async def _request_health(self, connection: EngineConnection) -> HttpResponseHead:
         headers = [("Host", self.address), ("Connection", "close")]
         request = encode_request("GET", self.health_path, headers, b"")
         connection.send(request, request_id="")
-        head = await connection.read_head()
-        return decode_engine_id(head.value_by_name)
+        return await connection.read_head()
--- a/tests/harness/simulated_gateways.py
+++ b/tests/harness/simulated_gateways.py
@@ -10,6 +10,7 @@
 from dotterelpitch.clock import ManualClock
 from dotterelpitch.gateway.digest_exchange import DigestExchange
 from dotterelpitch.gateway.engine_tracker import EngineTracker
+from dotterelpitch.gateway.leaving_engine_exchange import LeavingEngineExchange
 from dotterelpitch.gateway.link import Link, LinkTable
 from dotterelpitch.gateway.link_topology import LinkTopology
 from dotterelpitch.gateway.peer_directory import PeerDirectory
@@ -65,10 +66,12 @@
             self.clock, self.state, self.topology, self.fleet, self.rate_limits
         )
         self.stream_origins = StreamOrigins(self.clock)
-        self.stream_origin_exchange = StreamOriginExchange(
-            self.topology, self.stream_origins
-        )
-        self.version_history_exchange = VersionHistoryExchange(self.clock, self.state)
+        self.exchanges = [
+            LeavingEngineExchange(self.state),
+            self.rate_limit_exchange,
+            StreamOriginExchange(self.topology, self.stream_origins),
+            VersionHistoryExchange(self.clock, self.state),
+        ]
         self.digests = DigestExchange(
             self.vm.name,
             self.clock,
@@ -182,15 +185,10 @@
             sender.vm.name, sender.topology.fleet_list_for(sender_link)
         )
         receiver.digests.apply(receiver_link, sender.digests.make(sender_link))
-        rate_limits = sender.rate_limit_exchange.make(sender_link)
-        if rate_limits is not None:
-            receiver.rate_limit_exchange.apply(receiver_link, rate_limits)
-        origins = sender.stream_origin_exchange.make(sender_link)
-        if origins is not None:
-            receiver.stream_origin_exchange.apply(receiver_link, origins)
-        versions = sender.version_history_exchange.make(sender_link)
-        if versions is not None:
-            receiver.version_history_exchange.apply(receiver_link, versions)
+        pairs = zip(sender.exchanges, receiver.exchanges, strict=True)
+        for sending, receiving in pairs:
+            if (message := sending.message_for(sender_link)) is not None:
+                receiving.apply(receiver_link, message)
 
 
 def make_fleet(count, fast_links=6):
--- a/tests/test_link_version.py
+++ b/tests/test_link_version.py
@@ -47,5 +47,5 @@
     origins = StreamOrigins(ManualClock(10.0))
     origins.record("packers", "r1", StreamOrigin("chat", "v1"))
     link = Link(FleetVm("vm2", "a", "10.0.0.2:1", 10, link_version), None)
-    digest = StreamOriginExchange(None, origins).make(link)
+    digest = StreamOriginExchange(None, origins).message_for(link)
     assert (digest is not None) == is_told
