--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -13,6 +13,7 @@
 from dotterelpitch.gateway.background import keep_running
 from dotterelpitch.gateway.body_memory import BodyMemory
 from dotterelpitch.gateway.cached_prompt_finder import CachedPromptFinder
+from dotterelpitch.gateway.call_rules import CallRules
 from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.gateway.digest_exchange import DigestExchange
 from dotterelpitch.gateway.engine_status_recorder import EngineStatusRecorder
@@ -114,7 +115,14 @@
             self.loads,
             engine_tracker,
             self.retry_budget,
-            self.concurrency_limiter,
+            CallRules.create(
+                self._clock,
+                self.state.directory,
+                engine_tracker,
+                self.retry_budget,
+                self.concurrency_limiter,
+                self.rate_limits,
+            ),
             AttemptRunner(
                 self._clock,
                 self.pool,
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from dotterelpitch.gateway.call import Call, ResponseWriter
 from dotterelpitch.gateway.call_log import log_choice, log_end, log_failure
 from dotterelpitch.gateway.call_progress import CallProgress
+from dotterelpitch.gateway.call_rules import CallRules, RateLimitRule
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
 from dotterelpitch.gateway.refusals import refuse
@@ -24,22 +25,13 @@
     FinalResponse,
     final_response,
 )
-from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
 from dotterelpitch.routing.engine_choice import EngineChoice, EngineChooser
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.fleet_retry_budget import FleetRetryBudget
 from dotterelpitch.routing.health import FailureKind
 from dotterelpitch.routing.route_table import CallKind
-from dotterelpitch.telemetry.events import Event, log_event
 
-# A failed connect costs only a few milliseconds, so attempts that end before sending
-# have a limit of their own instead of the route's.
-MAX_UNSENT_ATTEMPTS = 4
-# An attempt needs at least this time and this fraction of the route's latency
-# objective: not even an idle engine answers sooner.
-MIN_ATTEMPT_SECONDS = 0.03
-MIN_ATTEMPT_OBJECTIVES = 0.1
 # An attempt that could be retried times out after this many latency objectives. A
 # plain response from a second engine can still be in time; for a stream, having
 # another engine process the prompt again costs more than waiting.
@@ -59,11 +51,7 @@
 # The peers have been told of what happened longer ago.
 UNREPORTED_SECONDS = 0.5
 
-OVERLOAD_REASON = "the engines have more work than they can do in time"
-RATE_LIMIT_REASON = "the engines take fewer requests per second than are sent"
 NO_ENGINE_REASON = "no engine is known"
-BANNED_REASON = "requests with this content have crashed engines"
-BANNED_PART_REASON = "requests with this prompt part have crashed engines"
 
 
 class Forwarder:
@@ -77,7 +65,7 @@
         loads: FleetLoads,
         engine_tracker: EngineTracker,
         retry_budget: FleetRetryBudget,
-        concurrency_limiter: AdaptiveConcurrencyLimiter,
+        rules: CallRules,
         attempt_runner: AttemptRunner,
         rate_limits: FleetRateLimits,
         stream_resumption: StreamResumption,
@@ -88,7 +76,7 @@
         self._loads = loads
         self._engine_tracker = engine_tracker
         self._retry_budget = retry_budget
-        self._concurrency_limiter = concurrency_limiter
+        self._rules = rules
         self._attempt_runner = attempt_runner
         self._rate_limits = rate_limits
         self._stream_resumption = stream_resumption
@@ -98,16 +86,16 @@
         resumption = await self._stream_resumption.resolve(call)
         if resumption.service != call.service:
             call = evolve(call, service=resumption.service)
-        reason = resumption.refusal_reason or self._refusal_reason(call)
+        progress = CallProgress(
+            EventStreamFilter(call.headers.last_event_id), version=resumption.version
+        )
+        reason = resumption.refusal_reason or self._rules.refusal_reason(call, progress)
         if reason:
             remaining_s = call.deadline - self._clock.monotonic()
             final = FinalResponse.REFUSAL
             await refuse(writer, final, call.request_id, reason, remaining_s)
             return
         self._retry_budget.request_started(call.service)
-        progress = CallProgress(
-            EventStreamFilter(call.headers.last_event_id), version=resumption.version
-        )
         try:
             await self._forward(call, progress, writer)
         finally:
@@ -129,7 +117,7 @@
                 now = self._clock.monotonic()
                 log_end(call, writer, "completed", result, now, choice.engine.id)
                 return
-            if not self._may_retry(call, progress):
+            if not self._rules.may_retry(call, progress):
                 break
         await self._give_up(call, progress, writer)
 
@@ -138,60 +126,6 @@
         age_s = self._clock.monotonic() - writer.started_at
         return writer.is_started and age_s < UNREPORTED_SECONDS
 
-    def _refusal_reason(self, call: Call) -> str:
-        """Return why a call must not be forwarded, or an empty string."""
-        if not self._has_time(call):
-            return "its deadline is too near"
-        if self._is_banned(call):
-            return BANNED_REASON
-        if self._has_banned_part(call, may_try=True):
-            return BANNED_PART_REASON
-        if not self._concurrency_limiter.admits(call.service, call.priority):
-            return OVERLOAD_REASON
-        engines = self._state.directory.usable(call.service)
-        if not self._rate_limits.admits(call.service, call.priority, engines):
-            return RATE_LIMIT_REASON
-        return ""
-
-    def _is_banned(self, call: Call) -> bool:
-        if not self._engine_tracker.is_banned(call):
-            return False
-        log_event(
-            Event.REQUEST_BANNED,
-            request=call.request_id,
-            fingerprint=call.fingerprint,
-            parts=call.prompt_parts,
-            engines=self._engine_tracker.suspects.crashed_engines(call.fingerprint),
-        )
-        return True
-
-    def _has_banned_part(self, call: Call, may_try: bool = False) -> bool:
-        """Return whether a call must not be forwarded for a part of its prompt.
-
-        ``may_try`` allows it to be the trial that is due; one of the VMs does it.
-        """
-        parts = self._engine_tracker.banned_parts(call)
-        if not parts:
-            return False
-        suspects = self._engine_tracker.part_suspects
-        is_chosen = may_try and random.random() < 1 / self._retry_budget.vm_count
-        is_tried = is_chosen and suspects.try_trial(parts)
-        log_event(
-            Event.PART_TRIED if is_tried else Event.PART_BANNED,
-            request=call.request_id,
-            parts=parts,
-            engines=sorted(
-                {e for part in parts for e in suspects.crashed_engines(part)}
-            ),
-        )
-        return not is_tried
-
-    def _has_time(self, call: Call) -> bool:
-        """Return whether another attempt could complete before the deadline."""
-        min_s = MIN_ATTEMPT_OBJECTIVES * call.route.objective_s
-        remaining_s = call.deadline - self._clock.monotonic()
-        return remaining_s >= max(MIN_ATTEMPT_SECONDS, min_s)
-
     def _choose(self, call: Call, progress: CallProgress) -> EngineChoice | None:
         """Return an untried engine, else one that answered with an error, else None.
 
@@ -287,27 +221,6 @@
             for engine in self._state.directory.usable(call.service)
         )
 
-    def _may_retry(self, call: Call, progress: CallProgress) -> bool:
-        """Return whether to retry, and charge the retry to the budget."""
-        if not self._has_time(call):
-            return False
-        if self._is_banned(call) or self._has_banned_part(call):
-            return False
-        if progress.unsent_count >= MAX_UNSENT_ATTEMPTS:
-            return False
-        if progress.may_have_run and not call.route.is_retryable:
-            return False
-        if not RETRY_RULE_BY_OUTCOME[progress.last_result.outcome].costs_budget:
-            return True
-        if progress.sent_count >= call.route.max_attempts:
-            return False
-        if self._retry_budget.try_spend(call.service):
-            return True
-        log_event(
-            Event.RETRY_BUDGET_SPENT, request=call.request_id, service=call.service
-        )
-        return False
-
     async def _give_up(
         self, call: Call, progress: CallProgress, writer: ResponseWriter
     ) -> None:
@@ -341,5 +254,5 @@
         if progress.version is not None:
             return NO_ENGINE_OF_VERSION_REASON
         if self._state.directory.usable(call.service):
-            return RATE_LIMIT_REASON
+            return RateLimitRule.reason
         return NO_ENGINE_REASON
