Leave an engine alone for as long as it asks a VM to

Two causes: a retry went to another engine that refused as well, and each rejection halved the limit on requests in flight of the whole service, as if all its engines were full.

Now the engine isn't chosen by that VM until the end, also as the last one left, and gets its traffic back over a second (engine_pauses.py). The latest end that it has named counts, for that run; silence alone is no reason to check it meanwhile. A rejection that names a time doesn't count as overload of the service. While all engines of a service want a pause, calls are refused at once with a Retry-After after the first end, spread.

Other VMs aren't told: an engine without room for one request may have some for others, and would be idle if all stayed away at one word.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -45,6 +45,7 @@
 from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
 from dotterelpitch.routing.engine_choice import EngineChooser
+from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.fleet_retry_budget import FleetRetryBudget
@@ -92,12 +93,16 @@
         self.pool = ConnectionPool(self._clock)
         engine_tracker = self.engine_tracker
         self.state.directory.on_restart = engine_tracker.record_engine_restart
-        status_recorder = EngineStatusRecorder(self.state, self.rate_limits.registry)
+        self.engine_pauses = EnginePauses(self._clock)
+        status_recorder = EngineStatusRecorder(
+            self.state, self.rate_limits.registry, self.engine_pauses
+        )
         self.crash_watcher = CrashWatcher(
             self._clock,
             self.state,
             engine_tracker,
             record_status=status_recorder.record_check,
+            is_paused=self.engine_pauses.is_paused,
         )
         chooser = EngineChooser(
             self.state.directory,
@@ -107,6 +112,7 @@
             engine_tracker.domain_reachability,
             CacheSources(self.state.directory, engine_tracker.prompt_cache),
             self.rate_limits.limiter,
+            self.engine_pauses,
         )
         forwarder = Forwarder(
             self._clock,
@@ -122,7 +128,9 @@
                 self.retry_budget,
                 self.concurrency_limiter,
                 self.rate_limits,
+                self.engine_pauses,
             ),
+            self.engine_pauses,
             AttemptRunner(
                 self._clock,
                 self.pool,
@@ -281,6 +289,7 @@
             remembered_ids = self.state.directory.remembered_ids()
             self.engine_tracker.retain(remembered_ids)
             self.rate_limits.retain(remembered_ids)
+            self.engine_pauses.retain(remembered_ids)
 
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -187,7 +187,9 @@
         async with asyncio.timeout(self._seconds_until(limits.answer_by)):
             head = await connection.read_head()
         response_class = classify_response(head.status, head.value_by_name)
-        observer.head_received(response_class, decode_engine_status(head.headers))
+        observer.head_received(
+            response_class, decode_engine_status(head.status, head.headers)
+        )
         if response_class is not ResponseClass.ANSWERED:
             body = await self._read_buffered(connection, limits)
             if len(body) >= MAX_BUFFERED_BYTES:
--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -54,12 +54,15 @@
     def head_received(
         self, response_class: ResponseClass, status: EngineStatus
     ) -> None:
-        """Record the head of the response; a rejection counts as late."""
+        """Record the head of the response.
+
+        A rejection counts as late, unless the engine is left alone for it anyway.
+        """
         self.data_received()
         self._status_recorder.record(self._engine, response_class, status)
         if status.load is not None:
             self._is_crowded = status.load.is_crowded
-        if response_class is ResponseClass.NOT_RUN:
+        if response_class is ResponseClass.NOT_RUN and status.pause_s is None:
             self._concurrency_limiter.request_rejected(self._request)
 
     def data_received(self) -> None:
--- a/dotterelpitch/gateway/call_rules.py
+++ b/dotterelpitch/gateway/call_rules.py
@@ -18,6 +18,7 @@
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.routing.attempt_outcomes import RETRY_RULE_BY_OUTCOME
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
+from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.engines import EngineDirectory
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.fleet_retry_budget import FleetRetryBudget
@@ -133,6 +134,19 @@
         return not self._rate_limits.admits(call.service, call.priority, engines)
 
 
+@define
+class PauseRule(CallRule):
+    """An engine of the service must take requests now."""
+
+    reason = "all engines of the service want no requests for a while"
+    _pauses: EnginePauses
+    _directory: EngineDirectory
+
+    def forbids(self, call: Call, progress: CallProgress) -> bool:
+        engines = self._directory.usable(call.service)
+        return self._pauses.remaining_s(engines) is not None
+
+
 @define
 class UnsentAttemptsRule(CallRule):
     """Only so many attempts may end before their request is sent."""
@@ -192,6 +206,7 @@
         retry_budget: FleetRetryBudget,
         limiter: AdaptiveConcurrencyLimiter,
         rate_limits: FleetRateLimits,
+        pauses: EnginePauses,
     ) -> "CallRules":
         """Return the tables of a gateway."""
         time = TimeRule(clock)
@@ -201,6 +216,7 @@
             time,
             banned_content,
             banned_part,
+            PauseRule(pauses, directory),
             ConcurrencyRule(limiter),
             RateLimitRule(rate_limits, directory),
         )
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -42,10 +42,16 @@
     """Ignore what an engine says of itself."""
 
 
+def _never(engine: Engine) -> bool:
+    """Return False: no engine wants a pause."""
+    return False
+
+
 class CrashWatcher:
     """Checks engines that leave requests unanswered; at most one check at a time each.
 
-    ``record_status`` is called with what an engine says of itself when checked.
+    ``record_status`` is called with what an engine says of itself when checked. One for
+    which ``is_paused`` is true isn't checked for its silence alone.
 
     >>> task = asyncio.create_task(keep_running("crashes", watcher.run))
     """
@@ -57,6 +63,7 @@
         tracker: EngineTracker,
         run_check: RunCheck = EngineCheck.run,
         record_status: RecordStatus = _ignore,
+        is_paused: Callable[[Engine], bool] = _never,
     ) -> None:
         self._clock = clock
         self._state = state
@@ -64,6 +71,7 @@
         self._detector = tracker.crash_detector
         self._run_check = run_check
         self._record_status = record_status
+        self._is_paused = is_paused
         self._task_by_engine: dict[str, asyncio.Task] = {}
         self._checked_at_by_engine: dict[str, float] = {}
 
@@ -77,6 +85,8 @@
             self._drop_old_check_times()
             self._detector.record_survivals()
             for engine in self._detector.silent_engines():
+                if self._is_paused(engine):
+                    continue
                 if engine.id not in self._checked_at_by_engine:
                     self.check_soon(engine)
 
--- a/dotterelpitch/gateway/engine_status_recorder.py
+++ b/dotterelpitch/gateway/engine_status_recorder.py
@@ -5,6 +5,7 @@
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.platform.engine_status import EngineStatus
 from dotterelpitch.platform.headers import ResponseClass
+from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
 
@@ -19,6 +20,7 @@
 
     _state: GatewayState
     _rate_limits: RateLimitRegistry
+    _pauses: EnginePauses
 
     def record(
         self, engine: Engine, response_class: ResponseClass, status: EngineStatus
@@ -29,6 +31,8 @@
         self._record_rate_limit(engine, response_class, status.rate_limit)
         if status.is_leaving:
             self._state.record_leaving(engine.run)
+        if status.pause_s is not None:
+            self._pauses.record(engine, status.pause_s)
 
     def record_check(self, engine: Engine, status: EngineStatus) -> None:
         """Record what an engine has said when asked for a sign of life.
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -26,6 +26,7 @@
     final_response,
 )
 from dotterelpitch.routing.engine_choice import EngineChoice, EngineChooser
+from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.fleet_retry_budget import FleetRetryBudget
@@ -66,6 +67,7 @@
         engine_tracker: EngineTracker,
         retry_budget: FleetRetryBudget,
         rules: CallRules,
+        pauses: EnginePauses,
         attempt_runner: AttemptRunner,
         rate_limits: FleetRateLimits,
         stream_resumption: StreamResumption,
@@ -77,6 +79,7 @@
         self._engine_tracker = engine_tracker
         self._retry_budget = retry_budget
         self._rules = rules
+        self._pauses = pauses
         self._attempt_runner = attempt_runner
         self._rate_limits = rate_limits
         self._stream_resumption = stream_resumption
@@ -91,9 +94,7 @@
         )
         reason = resumption.refusal_reason or self._rules.refusal_reason(call, progress)
         if reason:
-            remaining_s = call.deadline - self._clock.monotonic()
-            final = FinalResponse.REFUSAL
-            await refuse(writer, final, call.request_id, reason, remaining_s)
+            await self._refuse(call, progress, writer, FinalResponse.REFUSAL, reason)
             return
         self._retry_budget.request_started(call.service)
         try:
@@ -246,8 +247,25 @@
         reason = (
             last_result.reason if last_result else self._missing_reason(call, progress)
         )
+        await self._refuse(call, progress, writer, final, reason)
+
+    async def _refuse(
+        self,
+        call: Call,
+        progress: CallProgress,
+        writer: ResponseWriter,
+        final: FinalResponse,
+        reason: str,
+    ) -> None:
+        """Send an error response that names when a retry may be served."""
         remaining_s = call.deadline - self._clock.monotonic()
-        await refuse(writer, final, call.request_id, reason, remaining_s)
+        engines = [
+            engine
+            for engine in self._state.directory.usable(call.service)
+            if progress.version in (None, engine.version)
+        ]
+        wait_s = self._pauses.remaining_s(engines) or 0.0
+        await refuse(writer, final, call.request_id, reason, remaining_s, wait_s)
 
     def _missing_reason(self, call: Call, progress: CallProgress) -> str:
         """Return why no engine was chosen for a call."""
--- a/dotterelpitch/gateway/refusals.py
+++ b/dotterelpitch/gateway/refusals.py
@@ -38,24 +38,30 @@
     request_id: str,
     reason: str,
     remaining_s: float = 1.0,
+    min_wait_s: float = 0.0,
 ) -> None:
     """Send an error response, with Retry-After if the request has not run.
 
-    ``remaining_s`` is the time until the caller's deadline, in seconds.
+    ``remaining_s`` is the time until the caller's deadline, and ``min_wait_s`` the time
+    before which no retry can be served, both in seconds.
     """
     refusal = REFUSAL_BY_FINAL_RESPONSE[final]
     retry_after_s = None
     if refusal.status is HTTPStatus.SERVICE_UNAVAILABLE:
-        retry_after_s = choose_retry_after(remaining_s)
+        retry_after_s = choose_retry_after(remaining_s, min_wait_s)
     await send_problem(
         writer, refusal.status, refusal.outcome, request_id, reason, retry_after_s
     )
 
 
-def choose_retry_after(remaining_s: float) -> float:
-    """Return a Retry-After in seconds, with jitter so that retries are spread out."""
+def choose_retry_after(remaining_s: float, min_wait_s: float = 0.0) -> float:
+    """Return a Retry-After in seconds, with jitter so that retries are spread out.
+
+    It is at least ``min_wait_s``.
+    """
     latest = min(MAX_RETRY_AFTER_SECONDS, RETRY_AFTER_SHARE * remaining_s)
-    return max(MIN_RETRY_AFTER_SECONDS, latest * random.uniform(0.3, 1.0))
+    spread = max(MIN_RETRY_AFTER_SECONDS, latest * random.uniform(0.3, 1.0))
+    return max(0.0, min_wait_s) + spread
 
 
 async def send_problem(
--- a/dotterelpitch/platform/engine_status.py
+++ b/dotterelpitch/platform/engine_status.py
@@ -8,6 +8,10 @@
 _SERVER_LOAD = "server-load"
 _SERVER_LIMIT = "server-limit"
 _SERVER_LEAVING = "server-leaving"
+_RETRY_AFTER = "retry-after"
+
+# The statuses with which an engine says that it wants no requests for a while.
+_STATUSES_WITH_PAUSE = {429, 503}
 
 _DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
@@ -31,21 +35,25 @@
     """What an engine says of itself with a response; None is what it doesn't say.
 
     ``rate_limit`` is how many requests per second it takes from all VMs, and
-    ``is_leaving`` whether it is about to end.
+    ``is_leaving`` whether it is about to end. ``pause_s`` is for how many seconds it
+    wants no request from this VM.
     """
 
     load: ReportedLoad | None = None
     rate_limit: float | None = None
     is_leaving: bool = False
+    pause_s: float | None = None
 
 
-def decode_engine_status(headers: Iterable[tuple[str, str]]) -> EngineStatus:
-    """Return what an engine says of itself in the headers of a response.
+def decode_engine_status(
+    status: int, headers: Iterable[tuple[str, str]]
+) -> EngineStatus:
+    """Return what an engine says of itself in the head of a response.
 
-    A value that is invalid, or a limit that is named twice, counts as absent. An engine
-    leaves if it says so and nothing else.
+    A value that is invalid, such as a date for a number of seconds, or a number that is
+    named twice counts as absent. An engine leaves if it says so and nothing else.
 
-    >>> decode_engine_status([("Server-Limit", "2.5")]).rate_limit
+    >>> decode_engine_status(200, [("Server-Limit", "2.5")]).rate_limit
     2.5
     """
     values_by_name: dict[str, list[str]] = {}
@@ -55,6 +63,9 @@
         load=_decode_load(values_by_name.get(_SERVER_LOAD, [])),
         rate_limit=_decode_number(values_by_name.get(_SERVER_LIMIT, [])),
         is_leaving=set(values_by_name.get(_SERVER_LEAVING, [])) == {"1"},
+        pause_s=_decode_number(values_by_name.get(_RETRY_AFTER, []))
+        if status in _STATUSES_WITH_PAUSE
+        else None,
     )
 
 
--- a/dotterelpitch/routing/engine_choice.py
+++ b/dotterelpitch/routing/engine_choice.py
@@ -17,6 +17,7 @@
 
 from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.domain_reachability import DomainReachability
+from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.engine_rate_limiter import EngineRateLimiter
 from dotterelpitch.routing.engines import Engine, EngineDirectory
 from dotterelpitch.routing.error_rates import ErrorRates
@@ -122,6 +123,7 @@
     _reachability: DomainReachability
     _cache_sources: CacheSources
     _rate_limiter: EngineRateLimiter
+    _pauses: EnginePauses
     _random: random.Random = field(factory=random.Random)
     _table_by_ids: dict[tuple[str, ...], RankTable] = field(factory=dict)
 
@@ -143,13 +145,15 @@
         engines are chosen last. ``may_probe`` allows the request to go to a
         suspect engine to find out whether it works again. ``version`` is the only
         software version that may be chosen, or None for any. The choice counts against
-        the engine's rate limit.
+        the engine's rate limit. An engine that wants a pause is never chosen.
         """
         usable = self._directory.usable(service)
         engines = [
             engine
             for engine in usable
-            if engine.id not in excluded and version in (None, engine.version)
+            if engine.id not in excluded
+            and version in (None, engine.version)
+            and not self._pauses.is_paused(engine)
         ]
         if not engines:
             return None
@@ -236,6 +240,7 @@
         share_by_id = {
             engine.id: error_share_by_id[engine.id]
             * self._health_share(engine, may_probe)
+            * self._pauses.share(engine)
             for engine in engines
             if engine.failure_domain not in unreachable_domains
         }
--- a/dotterelpitch/upstream/engine_check.py
+++ b/dotterelpitch/upstream/engine_check.py
@@ -95,7 +95,7 @@
             connection.close()
         if decode_engine_id(head.value_by_name) not in ("", self.engine_id):
             return CheckResult.REPLACED
-        self.on_status(decode_engine_status(head.headers))
+        self.on_status(decode_engine_status(head.status, head.headers))
         return CheckResult.RETURNED if failed_attempts else CheckResult.RESPONDED
 
     async def _connect(self) -> tuple[EngineConnection, int]:
--- a/tests/test_call_rules.py
+++ b/tests/test_call_rules.py
@@ -14,6 +14,7 @@
     CallRules,
     ConcurrencyRule,
     IdempotencyRule,
+    PauseRule,
     RateLimitRule,
     RetryBudgetRule,
     TimeRule,
@@ -75,6 +76,10 @@
     return SimpleNamespace(admits=lambda *args: admits)
 
 
+def make_pauses(remaining_s):
+    return SimpleNamespace(remaining_s=lambda engines: remaining_s)
+
+
 DIRECTORY = SimpleNamespace(usable=lambda service: [])
 LOST = AttemptOutcome.LOST
 REJECTED = AttemptOutcome.REJECTED
@@ -127,6 +132,8 @@
             make_progress(),
             True,
         ),
+        (PauseRule(make_pauses(None), DIRECTORY), make_call(), make_progress(), False),
+        (PauseRule(make_pauses(0.2), DIRECTORY), make_call(), make_progress(), True),
         (
             UnsentAttemptsRule(),
             make_call(),
@@ -170,6 +177,7 @@
         budget,
         make_admission(admits),
         make_admission(True),
+        make_pauses(None),
     )
 
 
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -14,6 +14,7 @@
 from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.domain_reachability import DomainReachability
 from dotterelpitch.routing.engine_choice import ChoiceReason, EngineChooser
+from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.engines import Engine, EngineDirectory
 from dotterelpitch.routing.error_rates import ErrorRates
 from dotterelpitch.routing.fleet_loads import FleetLoads
@@ -39,6 +40,7 @@
         self.errors = ErrorRates(self.clock)
         self.reachability = DomainReachability(self.clock, "a")
         self.cache_index = PromptCacheIndex(self.clock)
+        self.pauses = EnginePauses(self.clock)
         self.chooser = EngineChooser(
             self.directory,
             self.loads,
@@ -47,6 +49,7 @@
             self.reachability,
             CacheSources(self.directory, self.cache_index),
             FleetRateLimits(self.clock).limiter,
+            self.pauses,
             random.Random(7),
         )
         for n in range(engines):
@@ -254,3 +257,16 @@
     """Pattern: all engines fail at the same rate (``srv_grey`` all)."""
     counts = simulate_failures(Fleet(engines=3), {"e0": 0.45, "e1": 0.45, "e2": 0.45})
     assert min(counts.values()) > 3_000 / 3 / 2
+
+
+# Guards against: an engine that wants a pause is chosen as the last one that is left.
+@pytest.mark.parametrize("parts", [(), ("p",)])
+def test_paused_engine_is_never_chosen(parts):
+    fleet = Fleet(engines=3)
+    for engine_id in ("e0", "e1"):
+        fleet.pauses.record(fleet.directory.engine_by_id[engine_id], 3.0)
+    for _ in range(20):
+        assert fleet.chooser.choose("chat", parts).engine.id == "e2"
+    assert fleet.chooser.choose("chat", parts, excluded=["e2"]) is None
+    fleet.pauses.record(fleet.directory.engine_by_id["e2"], 3.0)
+    assert fleet.chooser.choose("chat", parts) is None
--- a/tests/test_leaving_engines.py
+++ b/tests/test_leaving_engines.py
@@ -7,6 +7,7 @@
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.platform.engine_status import EngineStatus, decode_engine_status
 from dotterelpitch.platform.headers import ResponseClass
+from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.leaving_engines import RETENTION_SECONDS
 from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
@@ -45,7 +46,7 @@
     ],
 )
 def test_only_a_clear_word_means_that_an_engine_leaves(headers, is_leaving):
-    assert decode_engine_status(headers).is_leaving == is_leaving
+    assert decode_engine_status(200, headers).is_leaving == is_leaving
 
 
 # Guards against: only one kind of response is read for what its engine says.
@@ -61,14 +62,18 @@
 )
 def test_word_counts_in_every_response_of_the_engine_itself(response_class, counts):
     state, clock = make_state(ENGINE)
-    recorder = EngineStatusRecorder(state, RateLimitRegistry(clock))
+    recorder = EngineStatusRecorder(
+        state, RateLimitRegistry(clock), EnginePauses(clock)
+    )
     recorder.record(ENGINE, response_class, LEAVES)
     assert usable_ids(state) == ([] if counts else ["e1"])
 
 
 def test_word_counts_when_the_engine_is_asked_for_a_sign_of_life():
     state, clock = make_state(ENGINE)
-    recorder = EngineStatusRecorder(state, RateLimitRegistry(clock))
+    recorder = EngineStatusRecorder(
+        state, RateLimitRegistry(clock), EnginePauses(clock)
+    )
     recorder.record_check(ENGINE, LEAVES)
     assert usable_ids(state) == []
 
--- a/tests/test_rate_limit_fleet.py
+++ b/tests/test_rate_limit_fleet.py
@@ -9,6 +9,7 @@
 
 from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.engine_choice import ChoiceReason, EngineChooser
+from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.engines import Engine
 from tests.harness.rate_drill import (
     RATE_FACTOR,
@@ -120,6 +121,7 @@
                 tracker.domain_reachability,
                 CacheSources(directory, tracker.prompt_cache),
                 gateway.rate_limits.limiter,
+                EnginePauses(gateway.clock),
                 random.Random(len(self._chooser_by_gateway)),
             )
             self._chooser_by_gateway[id(gateway)] = chooser
--- a/tests/test_rate_limit_registry.py
+++ b/tests/test_rate_limit_registry.py
@@ -34,7 +34,7 @@
 )
 def test_only_one_plain_decimal_number_names_a_limit(values, expected):
     headers = [("Other", "1"), *(("SERVER-LIMIT", value) for value in values)]
-    assert decode_engine_status(headers).rate_limit == expected
+    assert decode_engine_status(200, headers).rate_limit == expected
 
 
 @pytest.mark.parametrize(
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -11,6 +11,14 @@
 SAMPLES = 200
 
 
+# Guards against: callers come back before a retry can be served, or all at once then.
+@pytest.mark.parametrize("min_wait_s", [0.7, 3.0, 30.0])
+def test_retry_after_is_spread_over_the_time_after_the_wait(min_wait_s):
+    times = [choose_retry_after(4.0, min_wait_s) for _ in range(SAMPLES)]
+    assert min(times) > min_wait_s
+    assert 0.3 < max(times) - min(times) <= MAX_RETRY_AFTER_SECONDS
+
+
 @pytest.mark.parametrize(
     ("remaining_s", "max_s"),
     [
