Let the soak's engines leave by their word and pause, and callers take streams up

The soak played none of the three. New faults: an engine that says in its answers that it leaves, which the store doesn't know; a third of the engines that reject all requests for 0.3 to 2.5 s and say so. Callers take a stream that broke off up again at any VM, twice at most, and a stream counts as one over all attempts in the checks of its version and its events. New checks with a row each that makes them fail.

--- a/tests/harness/gateway_soak/checks.py
+++ b/tests/harness/gateway_soak/checks.py
@@ -30,6 +30,7 @@
     Run,
     SentRequest,
 )
+from tests.harness.notice_drill import MAX_IN_PAUSE, ON_THE_WAY_SECONDS
 from tests.harness.rate_drill import (
     RATE_FACTOR,
     RATE_SLACK_REQUESTS,
@@ -226,6 +227,51 @@
                 break
 
 
+def leaving_engines_get_nothing_new(history: History) -> Violations:
+    """An engine gets nothing new of a VM that has passed on that it leaves.
+
+    Only a restart or a pause of the VM since then excuses it.
+    """
+    sent_by_id = {sent.id: sent for sent in history.sent}
+    told_at: dict[tuple[str, str], float] = {}
+    for notice in history.notices:
+        sent = sent_by_id.get(notice.request_id)
+        if notice.pause_s is None and sent is not None:
+            told_at.setdefault((notice.engine, sent.vm), notice.at)
+    for run in history.runs:
+        sent = sent_by_id.get(run.id)
+        at = told_at.get((run.engine, sent.vm)) if sent else None
+        if at is None or not run.ran:
+            continue
+        late_s = sent.at - at - DRAIN_SECONDS
+        if late_s > SCHEDULING_MARGIN_SECONDS and history.is_fault_free(
+            (sent.vm,), at, run.at
+        ):
+            yield f"{run.id} at {sent.vm} reached {run.engine} {late_s:.2f} s too late"
+
+
+def pausing_engines_are_left_alone(history: History) -> Violations:
+    """An engine gets hardly any requests of a VM in the pause that it wants from it.
+
+    Only a restart or a pause of the VM, or a cut of its links, excuses it.
+    """
+    vm_by_id = {sent.id: sent.vm for sent in history.sent}
+    for notice in history.notices:
+        vm = vm_by_id.get(notice.request_id)
+        if notice.pause_s is None or vm is None:
+            continue
+        since = notice.at + ON_THE_WAY_SECONDS
+        until = notice.at + notice.pause_s
+        count = sum(
+            since < run.at < until
+            and run.engine == notice.engine
+            and vm_by_id.get(run.id) == vm
+            for run in history.runs
+        )
+        if count > MAX_IN_PAUSE and history.is_fault_free((vm,), notice.at, until):
+            yield f"{notice.engine} got {count} requests of {vm} in a pause"
+
+
 def streams_hold_one_version(history: History) -> Violations:
     """No stream holds events of two engine versions."""
     for sent in history.sent:
@@ -311,6 +357,8 @@
     crashing_requests_stop,
     only_crashing_requests_are_banned,
     engines_get_no_more_than_their_limit,
+    leaving_engines_get_nothing_new,
+    pausing_engines_are_left_alone,
     streams_hold_one_version,
     work_stops_when_callers_disconnect,
     planned_stops_cut_no_requests,
--- a/tests/harness/gateway_soak/engine.py
+++ b/tests/harness/gateway_soak/engine.py
@@ -6,7 +6,12 @@
 import time
 from collections.abc import Callable
 
-from tests.harness.gateway_soak.history import CrashArrival, History, Run
+from tests.harness.gateway_soak.history import (
+    CrashArrival,
+    History,
+    NoticeGiven,
+    Run,
+)
 from tests.harness.proxy import FaultProxy
 from tests.harness.scripted_engine import EngineExchange, ScriptedEngine
 
@@ -53,8 +58,9 @@
 
     ``failure_mode`` is one of ``faults.FAILURE_MODES`` while the engine fails some
     of its requests, and empty otherwise. ``rate_limit`` is what it names in its
-    answers, in requests per second, or None. ``on_crash`` is called when a request
-    crashes the engine.
+    answers, in requests per second, or None. While ``is_leaving`` it says so in all
+    answers, and until ``paused_until``, a monotonic time, it rejects all requests.
+    ``on_crash`` is called when a request crashes the engine.
     """
 
     def __init__(
@@ -75,6 +81,8 @@
         self._random = random.Random(engine_id)
         self.version = self._random.choice(VERSIONS)
         self.rate_limit: float | None = None
+        self.is_leaving = False
+        self.paused_until = 0.0
         self._server = ScriptedEngine(engine_id, self._handle)
         self.proxy: FaultProxy | None = None
 
@@ -112,14 +120,15 @@
         if request_id.startswith(CRASH_ID_PREFIX):
             await self._crash(exchange, request_id)
             return
+        content_id = exchange.header("Resumes") or request_id
         run = Run(
             request_id,
             self.id,
             self.service,
             exchange.header("Tenant"),
             exchange.header("Credential") is not None,
-            exchange.target.endswith(f"/{request_id}")
-            and exchange.body == request_body(request_id),
+            exchange.target.endswith(f"/{content_id}")
+            and exchange.body == request_body(content_id),
             time.monotonic(),
         )
         self._history.runs.append(run)
@@ -127,6 +136,11 @@
             run.ran = False
             _write_misdirected(exchange)
             return
+        pause_s = self.paused_until - time.monotonic()
+        if pause_s > 0.0:
+            run.ran = False
+            self._reject(exchange, request_id, pause_s)
+            return
         fails = bool(self.failure_mode) and self._random.random() < FAILURE_SHARE
         try:
             await self._answer(exchange, request_id, self.failure_mode if fails else "")
@@ -146,7 +160,8 @@
         self, exchange: EngineExchange, request_id: str, failure_mode: str
     ):
         if failure_mode == "errors":
-            exchange.write_head("500 Error", "Content-Length: 0", *self._limit_lines())
+            lines = self._status_lines(request_id)
+            exchange.write_head("500 Error", "Content-Length: 0", *lines)
             return
         if exchange.target.startswith(("/stream", "/resumable")):
             await self._stream(exchange, request_id, failure_mode)
@@ -158,12 +173,12 @@
             return
         body = plain_body(request_id)
         if ends_with_connection(request_id):
-            _write_head(exchange, request_id, "Connection: close", *self._limit_lines())
+            lines = self._status_lines(request_id)
+            _write_head(exchange, request_id, "Connection: close", *lines)
             self._end_with_connection(exchange, body, failure_mode == "cut")
             return
-        _write_head(
-            exchange, request_id, f"Content-Length: {len(body)}", *self._limit_lines()
-        )
+        lines = self._status_lines(request_id)
+        _write_head(exchange, request_id, f"Content-Length: {len(body)}", *lines)
         if failure_mode == "cut":
             exchange.writer.write(body[: len(body) // 2])
             exchange.writer.close()
@@ -172,10 +187,29 @@
         if failure_mode == "extra":
             exchange.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
 
-    def _limit_lines(self) -> list[str]:
-        if self.rate_limit is None:
-            return []
-        return [f"Server-Limit: {self.rate_limit}"]
+    def _status_lines(self, request_id: str) -> list[str]:
+        """Return the headers in which the engine speaks of itself."""
+        lines = []
+        if self.rate_limit is not None:
+            lines.append(f"Server-Limit: {self.rate_limit}")
+        if self.is_leaving:
+            lines.append("Server-Leaving: 1")
+            notice = NoticeGiven(self.id, request_id, time.monotonic())
+            self._history.notices.append(notice)
+        return lines
+
+    def _reject(
+        self, exchange: EngineExchange, request_id: str, pause_s: float
+    ) -> None:
+        """Turn a request away, and say for how long no other one is wanted."""
+        notice = NoticeGiven(self.id, request_id, time.monotonic(), pause_s)
+        self._history.notices.append(notice)
+        exchange.write_head(
+            "503 Busy",
+            "Not-Executed: 1",
+            f"Retry-After: {pause_s:.3f}",
+            "Content-Length: 0",
+        )
 
     @staticmethod
     def _end_with_connection(
@@ -192,12 +226,14 @@
     async def _stream(
         self, exchange: EngineExchange, request_id: str, failure_mode: str
     ):
+        content_id = exchange.header("Resumes") or request_id
         first = int(exchange.header("Last-Event-Id") or 0) + 1
-        last = event_count(request_id)
+        last = event_count(content_id)
         is_chunked = not ends_with_connection(request_id)
         framing = "Transfer-Encoding: chunked" if is_chunked else "Connection: close"
         write = exchange.write_chunk if is_chunked else exchange.writer.write
-        lines = ["Content-Type: text/event-stream", framing, *self._limit_lines()]
+        lines = ["Content-Type: text/event-stream", framing]
+        lines += self._status_lines(request_id)
         _write_head(exchange, request_id, *lines)
         breaks_at = (
             self._random.randint(first, last) if failure_mode in ("lost", "cut") else 0
@@ -206,7 +242,7 @@
         for number in range(first, last + 1):
             if exchange.caller_left.is_set() or exchange.writer.is_closing():
                 return
-            data = event(request_id, number, version)
+            data = event(content_id, number, version)
             if number == breaks_at:
                 write(data[: len(data) // 2])
                 exchange.reset()
--- a/tests/harness/gateway_soak/faults.py
+++ b/tests/harness/gateway_soak/faults.py
@@ -23,6 +23,8 @@
 CRASH_INTERVAL_SECONDS = 0.4
 # Engines name a rate limit for so long; the bound holds after some seconds only.
 LIMIT_SECONDS = 8.0
+# Engines want a pause for so long.
+PAUSE_SECONDS = (0.3, 2.5)
 FAILURE_MODES = ("errors", "lost", "cut", "extra", "slow")
 
 
@@ -61,6 +63,8 @@
             self.reset_engine,
             self.silence_engine,
             self.release_engine,
+            self.leave_by_word,
+            self.pause_engines,
             self.limit_engines,
             self.crash_engines,
             self.crash_engines_by_part,
@@ -257,6 +261,29 @@
         await engine.stop()
         span.ended = self._now()
 
+    async def leave_by_word(self, seconds: float) -> None:
+        """Replace an engine that says that it leaves, but not to the store."""
+        engine = self._pick_engine()
+        if engine is None:
+            return
+        fleet = self._fleet
+        await fleet.add_engine(engine.service, engine.domain)
+        del fleet.engine_by_id[engine.id]
+        engine.is_leaving = True
+        await pause(seconds + DRAIN_SECONDS + EXTRA_DRAIN_SECONDS)
+        span = fleet.history.begin_fault("leave_by_word", ENGINES)
+        fleet.deregister_engine(engine)
+        await engine.stop()
+        span.ended = self._now()
+
+    async def pause_engines(self, seconds: float) -> None:
+        """Let a third of the engines reject all requests for a time that they say."""
+        engines = list(self._fleet.engine_by_id.values())
+        for engine in self._random.sample(engines, len(engines) // 3):
+            pause_s = self._random.uniform(*PAUSE_SECONDS)
+            engine.paused_until = self._now() + pause_s
+        await pause(PAUSE_SECONDS[1])
+
     async def limit_engines(self, seconds: float) -> None:
         """Let half of the engines without a rate limit name one, each its own."""
         engines = list(self._fleet.engine_by_id.values())
--- a/tests/harness/gateway_soak/history.py
+++ b/tests/harness/gateway_soak/history.py
@@ -24,7 +24,9 @@
     """One request of a caller and how it ended.
 
     ``at`` and ``ended`` are monotonic times in seconds; ``error`` is empty if an
-    answer arrived. ``versions`` are the engine versions of the events of a stream.
+    answer arrived. ``versions`` are the engine versions of the events of a stream, over
+    all attempts to read it. ``first_id`` is the id of the first of these, and
+    ``last_event`` the number of the last complete event that they brought.
     """
 
     id: str
@@ -37,13 +39,20 @@
     status: int = 0
     is_complete: bool = False
     versions: set[str] = attrs.field(factory=set)
+    first_id: str = ""
+    last_event: int = 0
     caller_left: bool = False
     error: str = ""
 
     @property
     def path(self) -> str:
         """The path of the request."""
-        return f"/{self.route}/{self.id}"
+        return f"/{self.route}/{self.content_id}"
+
+    @property
+    def content_id(self) -> str:
+        """The id on which path, body, and answer depend."""
+        return self.first_id or self.id
 
 
 @attrs.define
@@ -93,6 +102,20 @@
     ended: float = float("inf")
 
 
+@attrs.frozen
+class NoticeGiven:
+    """A response in which an engine says that it leaves, or wants a pause.
+
+    ``pause_s`` is the pause in seconds, or None if the engine leaves. ``at`` is a
+    monotonic time.
+    """
+
+    engine: str
+    request_id: str
+    at: float
+    pause_s: float | None = None
+
+
 @attrs.define
 class FaultSpan:
     """The duration of a fault of a VM, the store, the engines, or the peer links.
@@ -141,6 +164,7 @@
     unexpected_exits: list[str] = attrs.field(factory=list)
     crash_arrivals: list[CrashArrival] = attrs.field(factory=list)
     limits: list[LimitSpan] = attrs.field(factory=list)
+    notices: list[NoticeGiven] = attrs.field(factory=list)
     banned_ids: list[str] = attrs.field(factory=list)
     final_served_share: float = 0.0
 
--- a/tests/harness/gateway_soak/traffic.py
+++ b/tests/harness/gateway_soak/traffic.py
@@ -27,6 +27,8 @@
 # The share of requests that the caller cancels, and the latest time to do so.
 CANCELLED_SHARE = 0.06
 MAX_CANCEL_SECONDS = 0.4
+# A stream that breaks off is taken up again so often.
+MAX_TAKE_UPS = 2
 # The number of distinct prompt prefixes, which stand for conversations.
 CHAT_COUNT = 20
 # The first part of all prompts.
@@ -79,6 +81,11 @@
         if self._random.random() < CANCELLED_SHARE:
             cancel_after_seconds = self._random.uniform(0.05, MAX_CANCEL_SECONDS)
         await self._exchange(sent, cancel_after_seconds)
+        for _ in range(MAX_TAKE_UPS):
+            if not _is_broken_stream(sent):
+                break
+            sent = self._take_up(sent)
+            await self._exchange(sent, None)
         return sent
 
     async def _send_plain(self) -> SentRequest:
@@ -135,6 +142,15 @@
         self._fleet.history.sent.append(sent)
         return sent
 
+    def _take_up(self, broken: SentRequest) -> SentRequest:
+        """Return the request that goes on with a stream, at any VM."""
+        sent = self._new_request(broken.route, broken.key)
+        sent.first_id = broken.content_id
+        sent.body = broken.body
+        sent.versions = set(broken.versions)
+        sent.last_event = broken.last_event
+        return sent
+
     def _pick_vm(self) -> SoakVm:
         vms = [vm for vm in self._fleet.vms if vm.in_rotation] or self._fleet.vms
         return self._random.choice(vms)
@@ -154,34 +170,50 @@
 
     async def _request(self, sent: SentRequest) -> None:
         vm = self._fleet.vm(sent.vm)
-        chat = sum(sent.id.encode()) % CHAT_COUNT
+        content_id = sent.content_id
+        chat = sum(content_id.encode()) % CHAT_COUNT
         headers = {
             "Host": HOST,
             "Request-Id": sent.id,
             "Credential": sent.key,
             "Tenant": "forged",
             "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
-            "Prompt-Prefix": f"{COMMON_PART}:100,{chat:x}:50,{sent.id[1:]}:9",
+            "Prompt-Prefix": f"{COMMON_PART}:100,{chat:x}:50,{content_id[1:]}:9",
         }
+        if sent.first_id:
+            headers["Resumes"] = sent.first_id
+            headers["Last-Event-Id"] = str(sent.last_event)
         url = f"http://{vm.gateway.caller_address}{sent.path}"
         async with self._session.post(url, headers=headers, data=sent.body) as answer:
             sent.status = answer.status
-            body = await answer.read()
+            body = bytearray()
+            first_event = sent.last_event + 1
+            try:
+                async for data in answer.content.iter_any():
+                    body += data
+            finally:
+                _record_events(sent, body)
         sent.is_complete = answer.status != 200 or self._is_correct_answer(
-            sent, answer, body
+            sent, answer, bytes(body), first_event
         )
 
     @staticmethod
     def _is_correct_answer(
-        sent: SentRequest, answer: aiohttp.ClientResponse, body: bytes
+        sent: SentRequest,
+        answer: aiohttp.ClientResponse,
+        body: bytes,
+        first_event: int,
     ) -> bool:
-        """Return whether a 200 is an engine's complete answer to this request."""
+        """Return whether a 200 is an engine's complete answer to this request.
+
+        That of a stream begins with ``first_event``.
+        """
         expected = plain_body(sent.id)
         expected_seal = seal(sent.id, expected)
-        body, sent.versions = _without_versions(body)
+        body = _without_versions(body)
         if sent.route.startswith(("stream", "resumable")):
-            numbers = range(1, event_count(sent.id) + 1)
-            expected = b"".join(event(sent.id, number) for number in numbers)
+            numbers = range(first_event, event_count(sent.content_id) + 1)
+            expected = b"".join(event(sent.content_id, number) for number in numbers)
         has_id = answer.headers.get("Request-Id") == sent.id
         return (
             has_id
@@ -190,10 +222,28 @@
         )
 
 
-def _without_versions(body: bytes) -> tuple[bytes, set[str]]:
-    """Return a body without the engine versions of its events, and these."""
+def _is_broken_stream(sent: SentRequest) -> bool:
+    """Return whether a stream broke off that may be taken up again."""
+    is_begun = sent.route == "resumable" and sent.last_event > 0
+    is_over = sent.is_complete and sent.status == 200
+    return is_begun and not is_over and not sent.caller_left
+
+
+def _record_events(sent: SentRequest, body: bytes) -> None:
+    """Record the versions and the last number of the complete events of a stream."""
+    if sent.status != 200 or not sent.route.startswith(("stream", "resumable")):
+        return
+    for text in bytes(body).split(b"\n\n")[:-1]:
+        value_by_name = dict(
+            line.decode().split(": ", 1) for line in text.split(b"\n") if line
+        )
+        sent.last_event = int(value_by_name["id"])
+        if VERSION_FIELD in value_by_name:
+            sent.versions.add(value_by_name[VERSION_FIELD])
+
+
+def _without_versions(body: bytes) -> bytes:
+    """Return a body without the lines that name engine versions."""
     prefix = f"{VERSION_FIELD}: ".encode()
     lines = body.split(b"\n")
-    versions = {line.removeprefix(prefix) for line in lines if line.startswith(prefix)}
-    rest = [line for line in lines if not line.startswith(prefix)]
-    return b"\n".join(rest), {version.decode() for version in versions}
+    return b"\n".join([line for line in lines if not line.startswith(prefix)])
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -11,6 +11,7 @@
     FaultSpan,
     History,
     LimitSpan,
+    NoticeGiven,
     Run,
     SentRequest,
 )
@@ -34,6 +35,8 @@
     return ConfigVersion(version, at, frozenset(routes), frozenset(keys))
 
 
+LEAVES = NoticeGiven("e1", "r1", 10.0)
+PAUSES = NoticeGiven("e1", "r1", 10.0, 3.0)
 ONE_CONFIG = [config(1, 0.0)]
 KEY_REMOVED = [config(1, 0.0, keys=("key-1", "key-2")), config(2, 6.0)]
 ROUTE_ADDED = [config(1, 0.0), config(2, 6.0, routes=("safe", "unsafe", "safe2"))]
@@ -128,6 +131,41 @@
             History([sent()], [run(at=14.0)] * 11, limits=[LimitSpan("e1", 1, 10.0)]),
             0,
         ),
+        (
+            checks.leaving_engines_get_nothing_new,
+            History([sent(at=14.0)], [run(at=14.1)], notices=[LEAVES]),
+            1,
+        ),
+        (
+            checks.leaving_engines_get_nothing_new,
+            History([sent(at=11.0)], [run(at=11.1)], notices=[LEAVES]),
+            0,
+        ),
+        (
+            checks.leaving_engines_get_nothing_new,
+            History(
+                [sent(at=14.0)],
+                [run(at=14.1)],
+                [FaultSpan("kill_vm", "vm1", 12.0, 12.5)],
+                notices=[LEAVES],
+            ),
+            0,
+        ),
+        (
+            checks.pausing_engines_are_left_alone,
+            History([sent()], [run(at=12.0)] * 3, notices=[PAUSES]),
+            1,
+        ),
+        (
+            checks.pausing_engines_are_left_alone,
+            History([sent()], [run(at=12.0)] * 2, notices=[PAUSES]),
+            0,
+        ),
+        (
+            checks.pausing_engines_are_left_alone,
+            History([sent()], [run(at=10.2)] * 3, notices=[PAUSES]),
+            0,
+        ),
         (checks.service_recovers, History(final_served_share=0.5), 1),
     ],
 )
