--- a/tests/harness/gateway_soak/engine.py
+++ b/tests/harness/gateway_soak/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import json
 import random
 import time
 from collections.abc import Callable
@@ -21,6 +22,7 @@
 FAILURE_SHARE = 0.3
 # The ids of requests that crash engines: this, the fault's name, VM, and number.
 CRASH_ID_PREFIX = "crash"
+CACHE_LIST_PATH = "/v1/kv-list"
 VERSION_FIELD = "version"
 VERSIONS = ("v1", "v1.1", "v2")
 
@@ -83,6 +85,7 @@
         self.rate_limit: float | None = None
         self.is_leaving = False
         self.paused_until = 0.0
+        self._cached_parts: set[str] = set()
         self._server = ScriptedEngine(engine_id, self._handle)
         self.proxy: FaultProxy | None = None
 
@@ -116,6 +119,9 @@
         }
 
     async def _handle(self, exchange: EngineExchange) -> None:
+        if exchange.target == CACHE_LIST_PATH:
+            self._list_cache(exchange)
+            return
         request_id = exchange.header("Request-Id")
         if request_id.startswith(CRASH_ID_PREFIX):
             await self._crash(exchange, request_id)
@@ -141,12 +147,20 @@
             run.ran = False
             self._reject(exchange, request_id, pause_s)
             return
+        prompt = exchange.header("Prompt-Prefix") or ""
+        self._cached_parts |= {e.partition(":")[0] for e in prompt.split(",")}
         fails = bool(self.failure_mode) and self._random.random() < FAILURE_SHARE
         try:
             await self._answer(exchange, request_id, self.failure_mode if fails else "")
         finally:
             run.ended = time.monotonic()
 
+    def _list_cache(self, exchange: EngineExchange) -> None:
+        held = [["", part, 50, "m"] for part in sorted(self._cached_parts)]
+        body = json.dumps({"held": held}).encode()
+        exchange.write_head("200 OK", f"Content-Length: {len(body)}")
+        exchange.writer.write(body)
+
     async def _crash(self, exchange: EngineExchange, request_id: str) -> None:
         if exchange.header("Expect-Instance") != self.id:
             _write_misdirected(exchange)
