State once whose counts a VM reports on a link

DigestExchange._loads_for and LinkTopology.passes_on held the same rule twice; now both go by LinkTopology.scope, one of four named scopes. No change in behaviour (relays, origins, and limits of 2 to 60 VMs without network pass).

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -211,11 +211,9 @@
             self._clock, fleet, self.links, self._vm.seeds, self._settings.mesh_vms
         )
         digests = DigestExchange(
-            self._vm.vm_name,
             self._clock,
             self.state,
             self._topology,
-            self.links,
             self.loads,
             self.engine_tracker,
             self._reader_selection,
--- a/dotterelpitch/gateway/digest_exchange.py
+++ b/dotterelpitch/gateway/digest_exchange.py
@@ -4,8 +4,8 @@
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.engine_tracker import EngineTracker
-from dotterelpitch.gateway.link import Link, LinkTable
-from dotterelpitch.gateway.link_topology import LinkTopology
+from dotterelpitch.gateway.link import Link
+from dotterelpitch.gateway.link_topology import LinkTopology, ReportScope
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.protocol.gateway_messages import (
@@ -34,20 +34,16 @@
 
     def __init__(
         self,
-        vm: str,
         clock: Clock,
         state: GatewayState,
         topology: LinkTopology,
-        links: LinkTable,
         loads: FleetLoads,
         engine_tracker: EngineTracker,
         reader_selection: ReaderSelection,
     ) -> None:
-        self._vm = vm
         self._clock = clock
         self._state = state
         self._topology = topology
-        self._links = links
         self._loads = loads
         self._engine_tracker = engine_tracker
         self._suspects = engine_tracker.suspects
@@ -136,14 +132,12 @@
 
     def _loads_for(self, link: Link) -> dict[str, int]:
         """Return the request counts by engine that a peer gets only on this link."""
-        if not self._topology.is_relay:
-            peer_is_own_relay = link.peer.name == self._topology.relay
-            return self._loads.own_counts() if peer_is_own_relay else {}
-        if link.relay == self._vm:
+        scope = self._topology.scope(link)
+        if scope is ReportScope.ALL_BUT_PEERS:
             return self._loads.counts_without(link.peer.name)
-        if link.peer_is_relay:
-            return self._loads.counts_with(self._links.members_of(self._vm))
-        return {}
+        if scope is ReportScope.OWN_AND_MEMBERS:
+            return self._loads.counts_with(self._topology.members())
+        return self._loads.own_counts() if scope is ReportScope.OWN else {}
 
     def _crash_report(self, name: str, crash: Crash) -> CrashReport:
         return CrashReport(
--- a/dotterelpitch/gateway/link_topology.py
+++ b/dotterelpitch/gateway/link_topology.py
@@ -1,6 +1,7 @@
 """Decides whether this gateway is a relay or a member, and which links it needs."""
 
 from collections.abc import Iterable
+from enum import Enum, auto
 
 from attrs import define, field
 
@@ -20,6 +21,19 @@
 DIAL_YIELD_SECONDS = 1.0
 
 
+class ReportScope(Enum):
+    """Whose counts a VM reports on a link, so that no VM is counted twice.
+
+    A member reports its OWN to its relay, a relay OWN_AND_MEMBERS to other relays, and
+    ALL_BUT_PEERS to each of its members; NOTHING is reported on any other link.
+    """
+
+    NOTHING = auto()
+    OWN = auto()
+    OWN_AND_MEMBERS = auto()
+    ALL_BUT_PEERS = auto()
+
+
 @define
 class LinkTopology:
     """Chooses the relay of this VM and the VMs that it should have links to.
@@ -100,18 +114,32 @@
             return link.peer_is_relay or link.relay == self._fleet.own.name
         return link.peer.name == self.relay
 
+    def scope(self, link: Link) -> ReportScope:
+        """Return whose counts to report on this link."""
+        if not self.is_relay:
+            is_own_relay = link.peer.name == self.relay
+            return ReportScope.OWN if is_own_relay else ReportScope.NOTHING
+        if link.relay == self._fleet.own.name:
+            return ReportScope.ALL_BUT_PEERS
+        return (
+            ReportScope.OWN_AND_MEMBERS if link.peer_is_relay else ReportScope.NOTHING
+        )
+
     def passes_on(self, link: Link, source: str) -> bool:
         """Return whether to report on this link what a source has counted.
 
         ``source`` is a peer, or ``OWN``.
         """
-        own = self._fleet.own.name
-        if not self.is_relay:
-            return link.peer.name == self.relay and source == OWN
-        if link.relay == own:
+        scope = self.scope(link)
+        if scope is ReportScope.ALL_BUT_PEERS:
             return source != link.peer.name
-        is_reported_here = source == OWN or source in self._links.members_of(own)
-        return link.peer_is_relay and is_reported_here
+        if scope is ReportScope.OWN_AND_MEMBERS:
+            return source == OWN or source in self.members()
+        return scope is ReportScope.OWN and source == OWN
+
+    def members(self) -> list[str]:
+        """Return the VMs whose counts this VM reports to the other relays."""
+        return self._links.members_of(self._fleet.own.name)
 
     def fleet_list_for(self, link: Link) -> tuple[FleetVm, ...]:
         """Return the VMs to list to a peer.
@@ -129,7 +157,7 @@
     def _should_relay(self) -> bool:
         """Return whether this VM is among the chosen relays or peers use it as one."""
         own = self._fleet.own.name
-        return own in self._relay_by_name or bool(self._links.members_of(own))
+        return own in self._relay_by_name or bool(self.members())
 
     def _best_linked_relay(self) -> str:
         """Return the name of the preferred relay that a link is open to.
--- a/tests/harness/simulated_gateways.py
+++ b/tests/harness/simulated_gateways.py
@@ -73,11 +73,9 @@
             VersionHistoryExchange(self.clock, self.state),
         ]
         self.digests = DigestExchange(
-            self.vm.name,
             self.clock,
             self.state,
             self.topology,
-            self.links,
             self.loads,
             self.engine_tracker,
             ReaderSelection(self.clock, self.vm.name, self.vm.failure_domain),
