--- a/tests/harness/version_drill.py
+++ b/tests/harness/version_drill.py
@@ -42,6 +42,8 @@
     ``losses_at``, in seconds from the start, all VMs but ``survivors`` are killed and
     start again; at ``released_at`` all engines of the first version are replaced by
     ones of the last. ``lists_caches`` is whether engines say what they have cached.
+    The VMs start ``start_gap_s`` apart, and the store refuses all calls for
+    ``store_away_s`` from each loss on.
     """
 
     seconds: float = 12.0
@@ -56,6 +58,8 @@
     survivors: int = 0
     released_at: float | None = None
     lists_caches: bool = True
+    start_gap_s: float = 0.0
+    store_away_s: float = 0.0
 
 
 @attrs.define
@@ -212,9 +216,23 @@
                 self._vms_run.clear()
                 self._losses += 1
             await asyncio.gather(*(g.process.kill() for g in lost))
-            await asyncio.gather(*(g.process.start() for g in lost))
-            await asyncio.gather(*(g.wait_ready() for g in lost))
+            if self.settings.store_away_s:
+                self._let_store_refuse()
+            for gateway in lost:
+                await gateway.process.start()
+                await pause(self.settings.start_gap_s)
+            await lost[0].wait_ready()
             self._vms_run.set()
+            await asyncio.gather(*(g.wait_ready() for g in lost))
+
+    def _let_store_refuse(self) -> None:
+        """Let the store refuse all calls for a while."""
+        self.store.status = 503
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.settings.store_away_s, self._let_store_serve)
+
+    def _let_store_serve(self) -> None:
+        self.store.status = 200
 
     async def _replace_engines(self) -> None:
         """Replace an engine of the first version each second, if they are to be."""
--- a/tests/test_version_drill.py
+++ b/tests/test_version_drill.py
@@ -48,6 +48,12 @@
     "all VMs but one": VersionDrillSettings(
         versions=("v1", "v1", "v2"), losses_at=(3.6, 7.0), survivors=1, released_at=3.4
     ),
+    "all VMs, which start one after the other": VersionDrillSettings(
+        versions=("v1", "v1", "v2"), released_at=3.6, losses_at=(3.8,), start_gap_s=0.3
+    ),
+    "all VMs, and the store for 2 s": VersionDrillSettings(
+        versions=("v1", "v1", "v2"), released_at=3.6, losses_at=(3.8,), store_away_s=2.0
+    ),
     "all VMs, engines that don't list their caches": VersionDrillSettings(
         versions=("v1", "v1", "v2"),
         released_at=3.6,
