Tell a new peer of earlier streams in parts, the newest first

Cause, as far as shown without network: each VM that links up was sent the origins of all streams of 30 s in one message. 58 VMs, 440 streams a second, 35 VMs restarted at once: the busiest relay sends 4.0 MB within the first 0.25 s, 21.4 MB all VMs together, against 10 kB and 50 kB in calm; on a link of 10 to 100 Mbit/s that is 0.3 to 3 s of nothing else, callers' answers included.

Now at most 2,000 earlier streams at a time (16 kB), the newest first, since what broke a moment ago is taken up next; what begins meanwhile is told at once. The same case: 0.66 MB at most in the first 0.25 s, then 0.33, 0.21, 0.18 MB; all told within 2 s.

--- a/dotterelpitch/gateway/link.py
+++ b/dotterelpitch/gateway/link.py
@@ -4,6 +4,7 @@
 
 from dotterelpitch.protocol.gateway_messages import FleetVm
 from dotterelpitch.protocol.stream import Stream
+from dotterelpitch.routing.stream_origins import ToldStreams
 
 
 @define(eq=False)
@@ -15,11 +16,11 @@
     and clearance reports up to the last one sent, ``part_reports_sent`` that of those
     on prompt parts. ``rate_limits_sent`` and ``counts_sent`` are the same for the rate
     limits and for the counts of requests, and ``contact_share_sent`` is the share of
-    the fleet in contact that was sent last. ``origins_sent`` is the number of the last
-    batch of stream origins sent, and ``versions_sent`` the update count of the history
-    of versions sent last. ``leaving_sent`` is the same of the engines that leave by
-    their own word. ``list_sent`` is the last fleet list sent and
-    ``list_sent_at`` its time on the monotonic clock, in seconds.
+    the fleet in contact that was sent last. ``streams_told`` are the streams whose
+    origins were sent, and ``versions_sent`` is the update count of the history of
+    versions sent last. ``leaving_sent`` is the same of the engines that leave by their
+    own word. ``list_sent`` is the last fleet list sent and ``list_sent_at`` its time on
+    the monotonic clock, in seconds.
     """
 
     peer: FleetVm
@@ -30,7 +31,7 @@
     rate_limits_sent: int = 0
     counts_sent: int = 0
     contact_share_sent: float = 1.0
-    origins_sent: int = 0
+    streams_told: ToldStreams = field(factory=ToldStreams)
     versions_sent: int = 0
     leaving_sent: int = 0
     list_sent: tuple[FleetVm, ...] = ()
--- a/dotterelpitch/gateway/stream_origin_exchange.py
+++ b/dotterelpitch/gateway/stream_origin_exchange.py
@@ -22,12 +22,9 @@
         self._origins = origins
 
     def make(self, link: Link) -> StreamOriginDigest | None:
-        """Return what a peer must be told now, and mark it as sent; None if nothing.
-
-        A new peer is told of all streams, since it may have started only now.
-        """
-        link.origins_sent, begun = self._origins.since(
-            link.origins_sent,
+        """Return what a peer must be told now, and mark it as sent; None if nothing."""
+        begun = self._origins.news_for(
+            link.streams_told,
             lambda source: self._topology.passes_on(link, source),
         )
         if not begun:
--- a/dotterelpitch/routing/stream_origins.py
+++ b/dotterelpitch/routing/stream_origins.py
@@ -7,7 +7,7 @@
 
 import struct
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import xxhash
 from attrs import define, field, frozen
@@ -19,6 +19,9 @@
 RETENTION_SECONDS = 30.0
 # The streams begun longest ago are forgotten first beyond this number.
 MAX_STREAMS = 200_000
+# A new peer is told of about so many earlier streams at a time, so that those of 30 s
+# don't delay everything else on the links of a large fleet.
+MAX_EARLIER_STREAMS = 2_000
 HASH_BYTES = 8
 
 
@@ -41,6 +44,17 @@
     stream_hashes: tuple[int, ...]
 
 
+@define
+class ToldStreams:
+    """What a peer was told: all up to batch ``until``, but the first ``earlier`` ones.
+
+    ``until`` is None, and nothing is told, before the first time.
+    """
+
+    until: int | None = None
+    earlier: int = 0
+
+
 @define
 class StreamOrigins:
     """The origins of recent streams, by a hash of account and request id.
@@ -82,26 +96,49 @@
         if new:
             self._add(source, origin, new)
 
-    def since(
-        self, number: int, includes: Callable[[str], bool]
-    ) -> tuple[int, list[tuple[StreamOrigin, bytes]]]:
-        """Return the last batch's number, and the streams after batch ``number``.
+    def news_for(
+        self, told: "ToldStreams", includes: Callable[[str], bool]
+    ) -> list[tuple[StreamOrigin, bytes]]:
+        """Return what a peer must be told now, and mark it as told.
 
-        Those of the included sources are returned; after batch 0, which a peer has
-        that was told nothing yet, those of all sources.
+        That is all that the included sources have reported since it was told last. A
+        peer that is new is told of the earlier streams of all sources as well, the
+        newest first and ``MAX_EARLIER_STREAMS`` at a time.
         """
         self._flush()
-        batches = []
-        for batch in reversed(self._batches):
-            if batch.number <= number:
-                break
-            if number == 0 or includes(batch.source):
-                batches.append(batch)
+        if told.until is None:
+            told.until = told.earlier = self._last_number
+        batches = [batch for batch in self._after(told.until) if includes(batch.source)]
+        told.until = self._last_number
+        batches += self._earlier(told)
         hashes_by_origin: dict[StreamOrigin, list[int]] = {}
         for batch in batches:
             hashes_by_origin.setdefault(batch.origin, []).extend(batch.stream_hashes)
-        packed = [(o, pack_hashes(hashes)) for o, hashes in hashes_by_origin.items()]
-        return self._last_number, packed
+        return [(o, pack_hashes(hashes)) for o, hashes in hashes_by_origin.items()]
+
+    def _after(self, number: int) -> Iterator[_Batch]:
+        """Yield the batches after ``number``, the newest first."""
+        for batch in reversed(self._batches):
+            if batch.number <= number:
+                return
+            yield batch
+
+    def _earlier(self, told: "ToldStreams") -> list[_Batch]:
+        """Return the next earlier batches, of all sources, and mark them as told."""
+        batches: list[_Batch] = []
+        if told.earlier == 0:
+            return batches
+        count = 0
+        for batch in self._after(0):
+            if batch.number > told.earlier:
+                continue
+            if count >= MAX_EARLIER_STREAMS:
+                told.earlier = batch.number
+                return batches
+            batches.append(batch)
+            count += len(batch.stream_hashes)
+        told.earlier = 0
+        return batches
 
     def _flush(self) -> None:
         for origin, stream_hashes in self._unsent_by_origin.items():
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -25,11 +25,14 @@
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.routing.stream_origins import (
+    MAX_EARLIER_STREAMS,
     MAX_STREAMS,
     RETENTION_SECONDS,
     StreamOrigin,
     StreamOrigins,
+    ToldStreams,
     pack_hashes,
+    unpack_hashes,
 )
 from tests.harness.simulated_gateways import make_fleet
 
@@ -45,7 +48,7 @@
 ):
     services = (SimpleNamespace(service="chat"),)
     return SimpleNamespace(
-        route=SimpleNamespace(kind=kind, services=services),
+        route=SimpleNamespace(kind=kind, services=services, is_resumable=True),
         headers=SimpleNamespace(last_event_id=last_event_id, resumes=resumes),
         account_name=account,
         service="chat",
@@ -254,8 +257,41 @@
     for first in range(0, 2 * MAX_STREAMS, 10_000):
         hashes = list(range(first + 10, first + 10_010))
         origins.merge("vm2", ORIGIN, pack_hashes(hashes))
-    _, streams = origins.since(0, lambda source: True)
-    assert sum(len(packed) for _, packed in streams) <= 8 * MAX_STREAMS
+    assert len(all_told(origins, ToldStreams())) <= MAX_STREAMS
+
+
+def all_told(origins, told):
+    """Return the hashes that a peer is told, until there is nothing left to tell."""
+    hashes = []
+    while news := origins.news_for(told, lambda source: True):
+        hashes += [h for _, packed in news for h in unpack_hashes(packed)]
+    return hashes
+
+
+# Guards against: the streams of 30 s hold up all else when many VMs start at once.
+def test_new_peer_is_told_of_earlier_streams_in_parts_and_the_newest_first():
+    clock = ManualClock(100.0)
+    origins = StreamOrigins(clock)
+    count = 5 * MAX_EARLIER_STREAMS
+    for first in range(0, count, 100):
+        origins.merge("vm2", ORIGIN, pack_hashes(list(range(first, first + 100))))
+        clock.advance(0.1)
+    told = ToldStreams()
+    part = [
+        h
+        for _, packed in origins.news_for(told, lambda source: False)
+        for h in unpack_hashes(packed)
+    ]
+    assert len(part) == MAX_EARLIER_STREAMS
+    assert min(part) == count - MAX_EARLIER_STREAMS
+    # What has begun since comes at once, beside the next part.
+    origins.merge("vm2", ORIGIN, pack_hashes([count]))
+    [(_, packed)] = origins.news_for(told, lambda source: True)
+    assert count in unpack_hashes(packed)
+    rest = all_told(origins, told)
+    assert {*part, *unpack_hashes(packed), *rest} == set(range(count + 1))
+    assert len(part) + len(unpack_hashes(packed)) + len(rest) == count + 1
+    assert origins.news_for(told, lambda source: True) == []
 
 
 # Guards against: only the VM that passed the first event on knows what began a stream.
