Let a stream be taken up also by the name of an attempt that took it up

A caller that named in Resumes an attempt that had itself gone on with the stream was refused while two versions served, since only the attempt with the first event was recorded. Now each attempt that brings events is. The new test failed before.

--- a/dotterelpitch/gateway/stream_resumption.py
+++ b/dotterelpitch/gateway/stream_resumption.py
@@ -58,8 +58,12 @@
         return Resumption(origin.service, origin.version)
 
     def record(self, call: Call, version: str) -> None:
-        """Record which version has sent the first event of a call's stream."""
-        if call.route.is_resumable and not call.headers.last_event_id:
+        """Record which version has sent the first event of a call's stream.
+
+        One that goes on with a stream is recorded too: its caller may name either
+        attempt.
+        """
+        if call.route.is_resumable:
             origin = StreamOrigin(call.service, version)
             self._origins.record(call.account_name, call.request_id, origin)
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -154,6 +154,16 @@
     assert resolve(resumption, call) == Resumption("chat", "v2")
 
 
+# Guards against: a stream can be taken up once only.
+def test_stream_goes_on_also_if_the_caller_names_an_attempt_that_took_it_up():
+    resumption, _, _ = make_resumption(["v1", "v2"])
+    first = make_call(resumes="r1")
+    assert resolve(resumption, first) == Resumption("chat", "v1")
+    resumption.record(first, "v1")
+    again = make_call(resumes=first.request_id)
+    assert resolve(resumption, again) == Resumption("chat", "v1")
+
+
 # Guards against: a VM takes having seen one version for there having been only one.
 @pytest.mark.parametrize(
     ("known_for_s", "silent_s", "goes_on"),
