Don't take an engine for unreachable because this process was starved

Cause: a VM with half a core that has just started is busy for over 0.1 s at a time. When its loop comes round, the connection is there and the timeout has expired, both at once; the timeout cancels the task that is about to go on. Now a socket that is connected by then counts as connected.

The new test starves the process for 0.2 s; it failed before with "no answer". A second one: without an answer the attempt still times out.

--- a/dotterelpitch/upstream/opening.py
+++ b/dotterelpitch/upstream/opening.py
@@ -31,8 +31,7 @@
     loop = asyncio.get_running_loop()
     sock = _new_socket()
     try:
-        async with asyncio.timeout(timeout_s):
-            await loop.sock_connect(sock, (host, int(port)))
+        await _connect(sock, (host, int(port)), timeout_s)
         _, connection = await loop.create_connection(EngineConnection, sock=sock)
     except TimeoutError as error:
         sock.close()
@@ -49,6 +48,29 @@
     return connection
 
 
+async def _connect(
+    sock: socket.socket, address: tuple[str, int], timeout_s: float
+) -> None:
+    """Connect a socket; a process that was starved meanwhile may do so late.
+
+    Its timeout expires together with the news that the connection is there.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            await asyncio.get_running_loop().sock_connect(sock, address)
+    except TimeoutError:
+        if not _is_connected(sock):
+            raise
+
+
+def _is_connected(sock: socket.socket) -> bool:
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 def _new_socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -1,6 +1,8 @@
 """Parsing of engine responses: complete, truncated, invalid, and stale ones."""
 
 import asyncio
+import socket
+import time
 
 import pytest
 
@@ -8,8 +10,10 @@
 from dotterelpitch.upstream.errors import (
     AnswerGarbledError,
     AnswerLostError,
+    ConnectTimeoutError,
     PathLostError,
 )
+from dotterelpitch.upstream.opening import CONNECT_TIMEOUT_SECONDS, open_connection
 
 OK = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s1\r\n"
 COMPLETE = OK + b"Content-Length: 2\r\n\r\nhi"
@@ -175,3 +179,42 @@
     assert received <= MAX_OVERHEAD_BYTES + len(repeated)
     with pytest.raises(AnswerGarbledError):
         await read_all(connection)
+
+
+def starve():
+    """Keep the process from handling events for longer than connections may take."""
+    until = time.monotonic() + 2 * CONNECT_TIMEOUT_SECONDS
+    while time.monotonic() < until:
+        pass
+
+
+# Guards against: a VM that was starved takes sound engines for unreachable.
+async def test_connection_made_while_the_process_was_starved_is_no_timeout():
+    listener = socket.create_server(("127.0.0.1", 0))
+    host, port = listener.getsockname()
+    opening = asyncio.create_task(open_connection(f"{host}:{port}"))
+    await asyncio.sleep(0)
+    starve()
+    connection = await opening
+    assert not connection.is_closing
+    connection.close()
+    listener.close()
+
+
+async def test_connection_without_an_answer_times_out_also_in_a_starved_process():
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    host, port = listener.getsockname()
+    # The kernel completes no further connections once the backlog is full.
+    fillers = [socket.socket() for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex((host, port))
+    opening = asyncio.create_task(open_connection(f"{host}:{port}"))
+    await asyncio.sleep(0)
+    starve()
+    with pytest.raises(ConnectTimeoutError):
+        await opening
+    for sock in (*fillers, listener):
+        sock.close()
