--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -85,11 +85,6 @@
         )
         self.rate_limits = FleetRateLimits(self._clock)
         self.stream_origins = StreamOrigins(self._clock)
-        stream_resumption = StreamResumption(
-            self.state,
-            self.stream_origins,
-            CachedPromptFinder(self._clock, self.state.directory),
-        )
         self.pool = ConnectionPool(self._clock)
         engine_tracker = self.engine_tracker
         self.state.directory.on_restart = engine_tracker.record_engine_restart
@@ -104,44 +99,6 @@
             record_status=status_recorder.record_check,
             is_paused=self.engine_pauses.is_paused,
         )
-        chooser = EngineChooser(
-            self.state.directory,
-            self.loads,
-            engine_tracker.health,
-            engine_tracker.error_rates,
-            engine_tracker.domain_reachability,
-            CacheSources(self.state.directory, engine_tracker.prompt_cache),
-            self.rate_limits.limiter,
-            self.engine_pauses,
-        )
-        forwarder = Forwarder(
-            self._clock,
-            self.state,
-            chooser,
-            self.loads,
-            engine_tracker,
-            self.retry_budget,
-            CallRules.create(
-                self._clock,
-                self.state.directory,
-                engine_tracker,
-                self.retry_budget,
-                self.concurrency_limiter,
-                self.rate_limits,
-                self.engine_pauses,
-            ),
-            self.engine_pauses,
-            AttemptRunner(
-                self._clock,
-                self.pool,
-                self.concurrency_limiter,
-                self.crash_watcher,
-                status_recorder,
-                stream_resumption,
-            ),
-            self.rate_limits,
-            stream_resumption,
-        )
         self.links = LinkTable()
         self.metrics = GatewayMetrics(
             self.state,
@@ -153,7 +110,10 @@
             self.rate_limits.registry,
         )
         self.ingress = Ingress(
-            self._clock, self.state, forwarder, BodyMemory.for_vm(vm.memory_mb)
+            self._clock,
+            self.state,
+            self._create_forwarder(status_recorder),
+            BodyMemory.for_vm(vm.memory_mb),
         )
         self.handlers = HandlerTable()
         self._identity = Identity.create(vm.vm_name, "gateway", settings.cluster_key)
@@ -205,6 +165,56 @@
         self.pool.close()
         log_event(Event.PROCESS_STOPPED, vm=self._vm.vm_name, role="gateway")
 
+    def _create_forwarder(self, status_recorder: EngineStatusRecorder) -> Forwarder:
+        stream_resumption = StreamResumption(
+            self.state,
+            self.stream_origins,
+            CachedPromptFinder(self._clock, self.state.directory),
+        )
+        rules = CallRules.create(
+            self._clock,
+            self.state.directory,
+            self.engine_tracker,
+            self.retry_budget,
+            self.concurrency_limiter,
+            self.rate_limits,
+            self.engine_pauses,
+        )
+        attempt_runner = AttemptRunner(
+            self._clock,
+            self.pool,
+            self.concurrency_limiter,
+            self.crash_watcher,
+            status_recorder,
+            stream_resumption,
+        )
+        return Forwarder(
+            self._clock,
+            self.state,
+            self._create_chooser(),
+            self.loads,
+            self.engine_tracker,
+            self.retry_budget,
+            rules,
+            self.engine_pauses,
+            attempt_runner,
+            self.rate_limits,
+            stream_resumption,
+        )
+
+    def _create_chooser(self) -> EngineChooser:
+        tracker = self.engine_tracker
+        return EngineChooser(
+            self.state.directory,
+            self.loads,
+            tracker.health,
+            tracker.error_rates,
+            tracker.domain_reachability,
+            CacheSources(self.state.directory, tracker.prompt_cache),
+            self.rate_limits.limiter,
+            self.engine_pauses,
+        )
+
     def _create_peer_links(self) -> PeerLinks:
         fleet = PeerDirectory(self._clock, self._own_fleet_vm())
         self._topology = LinkTopology(
--- a/dotterelpitch/routing/stream_origins.py
+++ b/dotterelpitch/routing/stream_origins.py
@@ -97,7 +97,7 @@
             self._add(source, origin, new)
 
     def news_for(
-        self, told: "ToldStreams", includes: Callable[[str], bool]
+        self, told: ToldStreams, includes: Callable[[str], bool]
     ) -> list[tuple[StreamOrigin, bytes]]:
         """Return what a peer must be told now, and mark it as told.
 
@@ -123,7 +123,7 @@
                 return
             yield batch
 
-    def _earlier(self, told: "ToldStreams") -> list[_Batch]:
+    def _earlier(self, told: ToldStreams) -> list[_Batch]:
         """Return the next earlier batches, of all sources, and mark them as told."""
         batches: list[_Batch] = []
         if told.earlier == 0:
