Write the streams of two drills, and retire engines of the soak, in one place each

The drills of rate limits and of notices wrote the same stream, and two faults of the soak replaced and ended an engine in the same way. No change in what is checked.

--- a/tests/harness/crash_drill/engine.py
+++ b/tests/harness/crash_drill/engine.py
@@ -12,6 +12,8 @@
 from tests.harness.scripted_engine import reset_connection
 
 CRASH_BODY = b"this content crashes engines"
+# The time between two events of a stream.
+EVENT_SECONDS = 0.05
 # The connections that the kernel completes for a listener that accepts none.
 SILENT_BACKLOG = 1
 
@@ -246,6 +248,23 @@
     return "\r\n".join([*head, *lines, "", ""]).encode()
 
 
+async def write_stream(
+    headers: dict[str, str], writer: asyncio.StreamWriter, work_s: float, *lines: str
+) -> None:
+    """Write a whole stream that lasts ``work_s``, with further head ``lines``.
+
+    ``headers`` are those of its request.
+    """
+    framing = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+    writer.write(response_head(headers, *framing, *lines))
+    first = int(headers.get("last-event-id") or 0) + 1
+    for number in range(first, int(work_s / EVENT_SECONDS) + 1):
+        event = f"id: {number}\ndata: {number}\n\n".encode()
+        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await asyncio.sleep(EVENT_SECONDS)
+    writer.write(b"0\r\n\r\n")
+
+
 def _cache_list(parts: set[str]) -> bytes:
     """Return the response that lists the cached prompt parts."""
     held = [["", part, 500, "m"] for part in sorted(parts)]
--- a/tests/harness/gateway_soak/faults.py
+++ b/tests/harness/gateway_soak/faults.py
@@ -247,34 +247,24 @@
         engine = self._pick_engine()
         if engine is None:
             return
-        fleet = self._fleet
-        await fleet.add_engine(engine.service, engine.domain)
-        del fleet.engine_by_id[engine.id]
+        await self._start_successor(engine)
         if self._random.random() < 0.5:
-            fleet.register_engine(engine, "draining")
+            self._fleet.register_engine(engine, "draining")
         else:
-            fleet.deregister_engine(engine)
-        fleet.history.removed_at_by_engine[engine.id] = self._now()
+            self._fleet.deregister_engine(engine)
+        self._fleet.history.removed_at_by_engine[engine.id] = self._now()
         await pause(DRAIN_SECONDS + EXTRA_DRAIN_SECONDS)
-        span = fleet.history.begin_fault("release_engine", ENGINES)
-        fleet.deregister_engine(engine)
-        await engine.stop()
-        span.ended = self._now()
+        await self._end(engine, "release_engine")
 
     async def leave_by_word(self, seconds: float) -> None:
         """Replace an engine that says that it leaves, but not to the store."""
         engine = self._pick_engine()
         if engine is None:
             return
-        fleet = self._fleet
-        await fleet.add_engine(engine.service, engine.domain)
-        del fleet.engine_by_id[engine.id]
+        await self._start_successor(engine)
         engine.is_leaving = True
         await pause(seconds + DRAIN_SECONDS + EXTRA_DRAIN_SECONDS)
-        span = fleet.history.begin_fault("leave_by_word", ENGINES)
-        fleet.deregister_engine(engine)
-        await engine.stop()
-        span.ended = self._now()
+        await self._end(engine, "leave_by_word")
 
     async def pause_engines(self, seconds: float) -> None:
         """Let a third of the engines reject all requests for a time that they say."""
@@ -339,6 +329,18 @@
         await pause(seconds)
         self._traffic.rate_factor = 1.0
 
+    async def _start_successor(self, engine: SoakEngine) -> None:
+        """Start the engine that takes the place of one that leaves."""
+        await self._fleet.add_engine(engine.service, engine.domain)
+        del self._fleet.engine_by_id[engine.id]
+
+    async def _end(self, engine: SoakEngine, fault: str) -> None:
+        """Stop an engine that has left."""
+        span = self._fleet.history.begin_fault(fault, ENGINES)
+        self._fleet.deregister_engine(engine)
+        await engine.stop()
+        span.ended = self._now()
+
     async def _kill(self, vms: list[SoakVm], seconds: float) -> None:
         spans = [self._fleet.history.begin_fault("kill_vm", vm.name) for vm in vms]
         for vm in vms:
--- a/tests/harness/notice_drill.py
+++ b/tests/harness/notice_drill.py
@@ -11,7 +11,7 @@
     DrillResult,
     DrillSettings,
 )
-from tests.harness.crash_drill.engine import Arrival, CrashableEngine, response_head
+from tests.harness.crash_drill.engine import Arrival, CrashableEngine, write_stream
 from tests.harness.gateway_fleet import CHAT_ROUTES
 from tests.harness.waiting import pause
 
@@ -26,7 +26,6 @@
 MAX_REFUSAL_SECONDS = 0.25
 SHARED_PARTS = 12
 CHATS = 40
-EVENT_SECONDS = 0.05
 
 
 @attrs.frozen
@@ -179,14 +178,7 @@
         if fails:
             writer.write(_failure(request_id, lines))
             return
-        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
-        writer.write(response_head(headers, *lines))
-        first = int(headers.get("last-event-id") or 0) + 1
-        for number in range(first, int(self._work_s / EVENT_SECONDS) + 1):
-            event = f"id: {number}\ndata: {number}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await asyncio.sleep(EVENT_SECONDS)
-        writer.write(b"0\r\n\r\n")
+        await write_stream(headers, writer, self._work_s, *lines)
 
 
 class NoticeDrill(CrashDrill):
--- a/tests/harness/rate_drill.py
+++ b/tests/harness/rate_drill.py
@@ -11,7 +11,7 @@
     DrillResult,
     DrillSettings,
 )
-from tests.harness.crash_drill.engine import Arrival, CrashableEngine, response_head
+from tests.harness.crash_drill.engine import Arrival, CrashableEngine, write_stream
 from tests.harness.gateway_fleet import CHAT_ROUTES, GatewayProcess
 from tests.harness.waiting import pause
 
@@ -26,7 +26,6 @@
 MAX_REFUSAL_SECONDS = 0.25
 SHARED_PARTS = 12
 CHATS = 40
-EVENT_SECONDS = 0.05
 
 
 @attrs.frozen
@@ -145,20 +144,10 @@
         self, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter
     ) -> None:
         """Write a whole stream."""
-        lines = [
-            "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
-            "Server-Load: 1,0,16",
-        ]
+        lines = ["Server-Load: 1,0,16"]
         if self.limit is not None:
             lines.append(f"Server-Limit: {self.limit}")
-        writer.write(response_head(headers, *lines))
-        first = int(headers.get("last-event-id") or 0) + 1
-        for number in range(first, int(self._work_s / EVENT_SECONDS) + 1):
-            event = f"id: {number}\ndata: {number}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await asyncio.sleep(EVENT_SECONDS)
-        writer.write(b"0\r\n\r\n")
+        await write_stream(headers, writer, self._work_s, *lines)
 
 
 class RateDrill(CrashDrill):
