Ask by poll whether a late connection is there

So getpeername names a peer there before the connection is made. A socket is connected once poll says that it is writable and it has no error, which is what asyncio itself goes by.

--- a/dotterelpitch/upstream/opening.py
+++ b/dotterelpitch/upstream/opening.py
@@ -1,6 +1,7 @@
 """Opens connections to engines, with time-outs for lost network paths."""
 
 import asyncio
+import select
 import socket
 
 from dotterelpitch.upstream.connection import EngineConnection
@@ -64,11 +65,10 @@
 
 
 def _is_connected(sock: socket.socket) -> bool:
-    try:
-        sock.getpeername()
-    except OSError:
-        return False
-    return True
+    poll = select.poll()
+    poll.register(sock, select.POLLOUT)
+    is_decided = bool(poll.poll(0))
+    return is_decided and not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
 
 def _new_socket() -> socket.socket:
