--- a/dotterelpitch/gateway/cached_prompt_finder.py
+++ b/dotterelpitch/gateway/cached_prompt_finder.py
@@ -12,6 +12,7 @@
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import DotterelpitchError
 from dotterelpitch.gateway.call import Call
+from dotterelpitch.gateway.call_log import MAX_LOGGED_CHARS
 from dotterelpitch.routing.engines import Engine, EngineDirectory
 from dotterelpitch.routing.ranking import RankTable
 from dotterelpitch.telemetry.events import Event, log_event
@@ -80,7 +81,7 @@
         log_event(
             Event.STREAM_ORIGIN_SOUGHT,
             request=call.request_id,
-            resumes=call.headers.resumes[:64],
+            resumes=call.headers.resumes[:MAX_LOGGED_CHARS],
             part=own_part,
             versions=sorted(versions),
         )
