Don't look up each engine's run while no engine wants a pause

Every choice of an engine asked twice for each engine of the service whether it is paused, and made an EngineRun to look it up. No change in behaviour.

--- a/dotterelpitch/routing/engine_pauses.py
+++ b/dotterelpitch/routing/engine_pauses.py
@@ -81,4 +81,6 @@
                 del self._until_by_run[run]
 
     def _until(self, engine: Engine) -> float:
+        if not self._until_by_run:  # Asked for each engine in each choice.
+            return float("-inf")
         return self._until_by_run.get(engine.run, float("-inf"))
