--- a/dotterelpitch/gateway/call_log.py
+++ b/dotterelpitch/gateway/call_log.py
@@ -24,6 +24,7 @@
         route=call.route.name,
         account=call.account_name,
         engine=choice.engine.id,
+        started_ms=choice.engine.started_ms,
         version=choice.engine.version,
         resumes=call.headers.resumes[:MAX_LOGGED_CHARS],
         last_event=progress.events.last_id,
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -75,9 +75,12 @@
                 engine = self._decode_engine(record)
                 if engine is not None:
                     engines.append(engine)
-        known = set(self.directory.engine_by_id)
+        before_by_id = dict(self.directory.engine_by_id)
+        known = set(before_by_id)
         self.directory.replace_all(engines, may_be_incomplete)
-        if not known:
+        if known:
+            self._log_listed(before_by_id, response.revision)
+        else:
             self.directory.mark_settled()
         for engine_id in known - {engine.id for engine in engines}:
             action = "kept-for-now" if may_be_incomplete else "removed"
@@ -113,7 +116,7 @@
         newest_by_key = {record.key: record for record in response.records}
         for record in newest_by_key.values():
             if record.key.startswith(ENGINE_PREFIX):
-                self._apply_engine(record)
+                self._apply_engine(record, response.revision)
         keys = list(newest_by_key)
         self.change_log.add(response.revision, keys)
         self.confirm(response.revision, age_s)
@@ -180,7 +183,14 @@
         )
         return True
 
-    def _apply_engine(self, record: StoreRecord) -> None:
+    def _log_listed(self, before_by_id: dict[str, Engine], revision: int) -> None:
+        """Log the engines that have registered or changed."""
+        for engine_id, engine in self.directory.engine_by_id.items():
+            before = before_by_id.get(engine_id)
+            if before != engine:
+                _log_engine(engine, before, revision)
+
+    def _apply_engine(self, record: StoreRecord, revision: int) -> None:
         if record.value is None:
             self._remove_engine(record.key, "entry deleted")
             return
@@ -192,7 +202,7 @@
         self.directory.put(engine)
         after = self.directory.engine_by_id[engine.id]
         if before != after:
-            _log_engine(after, before)
+            _log_engine(after, before, revision)
 
     def _decode_engine(self, record: StoreRecord) -> Engine | None:
         try:
@@ -211,10 +221,12 @@
             log_event(Event.ENGINE_MISSING, engine=engine_id, action=reason)
 
 
-def _log_engine(engine: Engine, before: Engine | None) -> None:
+def _log_engine(engine: Engine, before: Engine | None, revision: int) -> None:
     log_event(
         Event.ENGINE_LISTED,
         engine=engine.id,
+        started_ms=engine.started_ms,
+        revision=revision,
         service=engine.service,
         address=engine.address,
         leaving=engine.is_leaving,
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -9,6 +9,7 @@
 from dotterelpitch.platform.config_record import CONFIG_KEY
 from dotterelpitch.platform.store import StoreRecord, StoreResponse
 from dotterelpitch.routing.engines import REREGISTRATION_SECONDS
+from dotterelpitch.telemetry.events import Event, observe_events
 
 
 def engine_record(engine_id, **changes):
@@ -166,3 +167,20 @@
     clock.advance(seconds)
     found = state.directory.cache_holders("chat", settled_s=8.0)
     assert sorted(engine.id for engine in found) == holders
+
+
+# Guards against: nothing in the log says of which run of an engine a record spoke.
+@pytest.mark.parametrize("is_list", [True, False])
+def test_log_names_the_run_and_the_revision_of_a_changed_record(state, is_list):
+    lines = []
+    stop = observe_events(lambda event, values: lines.append((event, values)))
+    response = StoreResponse((engine_record("e1", born=7), engine_record("e2")), 11)
+    if is_list:
+        state.apply_list(response, may_be_incomplete=False)
+    else:
+        state.apply_changes(response)
+    stop()
+    listed = [values for event, values in lines if event is Event.ENGINE_LISTED]
+    assert [(v["engine"], v["started_ms"], v["revision"]) for v in listed] == [
+        ("e1", 7, 11)
+    ]
