--- a/tests/harness/platform_store.py
+++ b/tests/harness/platform_store.py
@@ -28,12 +28,21 @@
         return {"key": self.key, "revision": self.revision, "value": value}
 
 
+@attrs.frozen
+class StoreCopy:
+    """The records of the store at a revision."""
+
+    revision: int
+    change_by_key: dict[str, Change]
+
+
 class PlatformStore:
     """Holds records in memory and serves lists and watches over HTTP.
 
     With a ``status`` other than 200 every request fails with 503; with
     ``is_silent`` requests are never answered. ``page_size`` is the maximum number of
-    items per page, and ``calls`` counts requests.
+    items per page, and ``calls`` counts requests. ``era`` is named in all responses,
+    unless it is None, and rises whenever the store is restored from a copy.
     """
 
     def __init__(self, page_size: int = 3) -> None:
@@ -42,6 +51,7 @@
         self.page_size = page_size
         self.calls = 0
         self.address = ""
+        self.era: int | None = None
         self._revision = 1
         self._oldest_revision = 0
         self._change_by_key: dict[str, Change] = {}
@@ -52,6 +62,7 @@
     async def start(self, address: str) -> None:
         """Listen on ``address``."""
         app = new_application()
+        app.on_response_prepare.append(self._name_era)
         app.router.add_get("/v1/kv-range", self._list)
         app.router.add_get("/v1/kv-watch", self._watch)
         self.address = address
@@ -76,6 +87,23 @@
         self._oldest_revision = self._revision
         self._notify_watches()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present records."""
+        return StoreCopy(self._revision, dict(self._change_by_key))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy: later writes are lost, and revisions are used again."""
+        self.era = (self.era or 0) + 1
+        self._revision = copy.revision
+        self._change_by_key = dict(copy.change_by_key)
+        self.discard_history()
+
+    async def _name_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.era is not None:
+            response.headers["Store-Era"] = str(self.era)
+
     def _write(self, key: str, value: bytes | None) -> None:
         self._revision += 1
         change = Change(self._revision, key, value)
@@ -114,12 +142,12 @@
         events: list[Change] = []
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                while after >= self._oldest_revision:
+                while self._has_history_since(after):
                     if events := self._changes_after(after):
                         break
                     await self._write_event.wait()
         await self._apply_outage()
-        if after < self._oldest_revision:
+        if not self._has_history_since(after):
             return web.json_response({}, status=410)
         return web.json_response(
             {
@@ -128,6 +156,9 @@
             }
         )
 
+    def _has_history_since(self, revision: int) -> bool:
+        return self._oldest_revision <= revision <= self._revision
+
     def _changes_after(self, revision: int) -> list[Change]:
         return [change for change in self._history if change.revision > revision]
 
