Ask an engine that may be one that has said that it leaves

What callers saw: requests reached engines more than 2 s after they had said that they leave. An engine that had crashed and started again says so before the registry names its new start; the word was filed under the start that the registry last named, and the new run counted as one that had said nothing. One odd record of the same id, without a start time or with another, did the same. Without a start time the word ended after 30 s.

Cause: the word is about the process that answered, and was kept as one about the run that the registry named. Now a run that is listed under an id whose engine has said that it leaves is in doubt: it gets no requests until it has answered a status check with success and without that word (asked again every 1.5 s). The same once 30 s have passed since an engine without a start time last said so, where its record alone decided before.

Weighed: comparing the start with the time of the word, which needs the time of day, and that jumps on VMs; asking for the start time in the engine's report, which plain engines needn't have.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -20,6 +20,7 @@
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.forwarding import Forwarder
 from dotterelpitch.gateway.ingress import Ingress
+from dotterelpitch.gateway.leaving_engine_checker import LeavingEngineChecker
 from dotterelpitch.gateway.leaving_engine_exchange import LeavingEngineExchange
 from dotterelpitch.gateway.link import LinkTable
 from dotterelpitch.gateway.link_topology import LinkTopology
@@ -99,6 +100,9 @@
             record_status=status_recorder.record_check,
             is_paused=self.engine_pauses.is_paused,
         )
+        self.leaving_engine_checker = LeavingEngineChecker(
+            self._clock, self.state, status_recorder.record_check
+        )
         self.links = LinkTable()
         self.metrics = GatewayMetrics(
             self.state,
@@ -151,6 +155,9 @@
                 asyncio.create_task(keep_running("store", store_watcher.run)),
                 asyncio.create_task(keep_running("peers", self._peer_links.run)),
                 asyncio.create_task(keep_running("crashes", self.crash_watcher.run)),
+                asyncio.create_task(
+                    keep_running("leaving", self.leaving_engine_checker.run)
+                ),
                 asyncio.create_task(
                     keep_running("sweep", partial(self._sweep, listeners.callers))
                 ),
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -17,7 +17,6 @@
 from dotterelpitch.routing.crash_detector import UnansweredAttempt
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.health import FailureKind
-from dotterelpitch.routing.route_table import DEFAULT_HEALTH_PATH
 from dotterelpitch.telemetry.events import Event, log_event
 from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
 
@@ -162,7 +161,7 @@
         check = EngineCheck(
             engine.id,
             engine.address,
-            self._health_path(engine),
+            self._state.health_path(engine),
             is_needed=lambda: not self._detector.has_outlived(engine.id, began),
             on_status=partial(self._record_status, engine),
         )
@@ -201,11 +200,6 @@
         is_own = engine.failure_domain == reach.own_domain
         return is_own and self._state.confirmed_at >= since
 
-    def _health_path(self, engine: Engine) -> str:
-        config = self._state.config
-        service = config.service_by_name.get(engine.service) if config else None
-        return service.health_path if service else DEFAULT_HEALTH_PATH
-
 
 def _has_responded(engine: Engine, result: CheckResult) -> bool:
     """Return whether a check has met the run of the engine that was asked.
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -11,7 +11,7 @@
 from dotterelpitch.platform.store import StoreRecord, StoreResponse
 from dotterelpitch.routing.engines import Engine, EngineDirectory, EngineRun
 from dotterelpitch.routing.leaving_engines import LeavingEngines
-from dotterelpitch.routing.route_table import RoutingConfig
+from dotterelpitch.routing.route_table import DEFAULT_HEALTH_PATH, RoutingConfig
 from dotterelpitch.telemetry.events import Event, log_event
 
 # Age reported to peers by a process that has never reached the store.
@@ -130,9 +130,27 @@
     def record_leaving(self, run: EngineRun, peer: str = "") -> None:
         """Record that an engine has said that it leaves, here or to ``peer``."""
         if self.leaving_engines.record(run, peer):
-            self.directory.update(run)
+            self.directory.update(run.engine_id)
             self.notify_peers()
 
+    def engines_in_doubt(self) -> list[Engine]:
+        """Return the engines that must be asked whether they leave."""
+        engine_by_run = {e.run: e for e in self.directory.engine_by_id.values()}
+        runs = self.leaving_engines.in_doubt(engine_by_run)
+        return [engine_by_run[run] for run in runs]
+
+    def record_stays(self, run: EngineRun) -> None:
+        """Record that an engine that was in doubt doesn't say that it leaves."""
+        self.leaving_engines.clear(run)
+        self.directory.update(run.engine_id)
+
+    def health_path(self, engine: Engine) -> str:
+        """Return the path at which the engines of a service are asked for health."""
+        service = (
+            self.config.service_by_name.get(engine.service) if self.config else None
+        )
+        return service.health_path if service else DEFAULT_HEALTH_PATH
+
     def expire(self) -> None:
         """Remove the engines that have not re-registered after a store outage.
 
--- a/dotterelpitch/platform/engine_status.py
+++ b/dotterelpitch/platform/engine_status.py
@@ -34,11 +34,12 @@
 class EngineStatus:
     """What an engine says of itself with a response; None is what it doesn't say.
 
-    ``rate_limit`` is how many requests per second it takes from all VMs, and
-    ``is_leaving`` whether it is about to end. ``pause_s`` is for how many seconds it
-    wants no request from this VM.
+    ``is_success`` is whether the response was one. ``rate_limit`` is how many requests
+    per second it takes from all VMs, and ``is_leaving`` whether it is about to end.
+    ``pause_s`` is for how many seconds it wants no request from this VM.
     """
 
+    is_success: bool = False
     load: ReportedLoad | None = None
     rate_limit: float | None = None
     is_leaving: bool = False
@@ -60,6 +61,7 @@
     for name, value in headers:
         values_by_name.setdefault(name.lower(), []).append(value.strip())
     return EngineStatus(
+        is_success=200 <= status < 300,
         load=_decode_load(values_by_name.get(_SERVER_LOAD, [])),
         rate_limit=_decode_number(values_by_name.get(_SERVER_LIMIT, [])),
         is_leaving=set(values_by_name.get(_SERVER_LEAVING, [])) == {"1"},
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -77,7 +77,8 @@
     ``drain_s`` is the drain time of leaving engines in seconds. ``on_restart`` is
     called with the previous run of an engine that has registered with a later start.
     ``version_history`` holds the versions that were listed lately.
-    ``is_known_to_leave`` returns whether a run leaves whatever the registry says.
+    ``is_known_to_leave`` returns whether a run leaves whatever the registry says;
+    ``update`` applies what has changed of that.
 
     >>> from dotterelpitch.clock import ManualClock
     >>> directory = EngineDirectory(ManualClock())
@@ -93,6 +94,7 @@
     drain_s: float = DEFAULT_DRAIN_SECONDS
     on_restart: Callable[[Engine], None] | None = None
     engine_by_id: dict[str, Engine] = field(factory=dict)
+    _registered_by_id: dict[str, Engine] = field(factory=dict)
     _first_seen_by_id: dict[str, float] = field(factory=dict)
     _leaving_since_by_id: dict[str, float] = field(factory=dict)
     _departed_by_id: dict[str, tuple[float, Engine]] = field(factory=dict)
@@ -106,6 +108,7 @@
 
     def put(self, engine: Engine) -> None:
         """Add an engine, or replace its entry with a newer one."""
+        self._registered_by_id[engine.id] = engine
         if not engine.is_leaving and self.is_known_to_leave(engine.run):
             engine = evolve(engine, is_leaving=True)
         self._missing_since_by_id.pop(engine.id, None)
@@ -128,11 +131,13 @@
         self.engine_by_id[engine.id] = engine
         self._usable_by_service.clear()
 
-    def update(self, run: EngineRun) -> None:
-        """Apply what has become known of a run, if it is the registered one."""
-        engine = self.engine_by_id.get(run.engine_id)
-        if engine is not None and engine.run == run:
-            self.put(engine)
+    def update(self, engine_id: str) -> None:
+        """Apply what has become known of whether an engine leaves."""
+        if engine_id in self.engine_by_id:
+            is_missing_since = self._missing_since_by_id.get(engine_id)
+            self.put(self._registered_by_id[engine_id])
+            if is_missing_since is not None:
+                self._missing_since_by_id[engine_id] = is_missing_since
 
     def remove(self, engine_id: str) -> None:
         """Remove an engine whose entry was deleted from the registry.
@@ -142,6 +147,7 @@
         """
         self._missing_since_by_id.pop(engine_id, None)
         engine = self.engine_by_id.pop(engine_id, None)
+        self._registered_by_id.pop(engine_id, None)
         if engine is None:
             return
         self.version_history.record(engine.service_version)
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -94,6 +94,7 @@
     STREAM_ORIGIN_SOUGHT = (423, logging.INFO, "engines were asked who began a stream")
     CACHE_LIST_FAILED = (424, logging.WARNING, "an engine didn't list its cache")
     ENGINE_LEAVING = (425, logging.INFO, "an engine has said that it leaves")
+    ENGINE_STAYS = (427, logging.INFO, "an engine in doubt doesn't say that it leaves")
     ENGINE_PAUSED = (426, logging.INFO, "an engine wants no requests for a while")
     LIMIT_MOVED = (416, logging.INFO, "the limit on requests in flight has changed")
     REQUEST_ENDED = (501, logging.INFO, "a request has its final outcome")
--- a/tests/harness/crash_drill/engine.py
+++ b/tests/harness/crash_drill/engine.py
@@ -180,10 +180,7 @@
             await run_over.wait()
             return False
         if head.startswith(b"GET /health "):
-            writer.write(
-                f"HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\n"
-                "Content-Length: 0\r\n\r\n".encode()
-            )
+            writer.write(self.health_response())
             return True
         if head.startswith(b"GET /v1/kv-list ") and self.cached_parts is not None:
             writer.write(_cache_list(self.cached_parts))
@@ -210,6 +207,12 @@
             return False
         return True
 
+    def health_response(self) -> bytes:
+        """Return the response to a status check."""
+        return (
+            f"HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\nContent-Length: 0\r\n\r\n"
+        ).encode()
+
     def crashes_under(self, headers: dict[str, str], body: bytes) -> bool:
         """Return whether a request crashes the engine; names are in lower case."""
         return body == CRASH_BODY
--- a/tests/harness/notice_drill.py
+++ b/tests/harness/notice_drill.py
@@ -158,6 +158,15 @@
         self._notices = notices
         self._count = 0
 
+    def health_response(self) -> bytes:
+        """Return the response to a status check, which says so too if it leaves."""
+        if not self.leaves:
+            return super().health_response()
+        return (
+            f"HTTP/1.1 503 Service Unavailable\r\nInstance-Id: {self.id}\r\n"
+            "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+        ).encode()
+
     async def respond(
         self, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter
     ) -> None:
