Hold an engine to its own record that it leaves

What callers saw: requests reached an engine that the registry had listed as draining, after a later record said 'ready' of the same run (a store that is back from an older copy, a repeated record, an older peer's digest).

Cause: the later record simply replaced the earlier one. A run whose record says that it leaves now is among the leaving engines like one that has said so to a caller, at all VMs; only another run, once asked, is used.

Changed in tests: that a newer answer changes an engine back is now tested with the service of the record; that 'ready' follows on 'draining' of the same run was expected there and is now forbidden by a test of its own, for lists and changes.

--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -21,7 +21,8 @@
 class GatewayState:
     """The config and the engines, built from records of the store or of a peer.
 
-    What engines say of their leaving goes before their records.
+    What engines have said of their leaving, to a caller or in a record, goes before
+    their later records.
 
     A config is replaced only by one with a higher version. An invalid config record
     leaves the current config in force; an invalid engine record removes the engine.
@@ -127,9 +128,14 @@
             Event.RECORDS_OLDER_IGNORED, offered=response.revision, held=self.revision
         )
 
-    def record_leaving(self, run: EngineRun, peer: str = "") -> None:
-        """Record that an engine has said that it leaves, here or to ``peer``."""
-        if self.leaving_engines.record(run, peer):
+    def record_leaving(
+        self, run: EngineRun, peer: str = "", by_registry: bool = False
+    ) -> None:
+        """Record that an engine has said that it leaves, here or to ``peer``.
+
+        ``by_registry`` is whether it has said so in its record.
+        """
+        if self.leaving_engines.record(run, peer, by_registry):
             self.directory.update(run.engine_id)
             self.notify_peers()
 
@@ -229,6 +235,8 @@
             log_event(Event.ENGINE_ENTRY_REFUSED, key=record.key, reason=str(error))
             return None
         self.record_by_key[record.key] = record.value
+        if engine.is_leaving:
+            self.record_leaving(engine.run, by_registry=True)
         return engine
 
     def _remove_engine(self, key: str, reason: str) -> None:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -111,8 +111,8 @@
 def test_answer_older_than_the_state_reverts_no_engine(
     state, is_list, revision, usable
 ):
-    leaving = engine_record("e1", state="draining")
-    state.apply_changes(StoreResponse((leaving,), 15))
+    elsewhere = engine_record("e1", service="another")
+    state.apply_changes(StoreResponse((elsewhere,), 15))
     records = (config_record(6), engine_record("e1"), engine_record("e2"))
     if is_list:
         state.apply_list(StoreResponse(records, revision), may_be_incomplete=False)
@@ -169,6 +169,24 @@
     assert sorted(engine.id for engine in found) == holders
 
 
+# Guards against: the registry takes back that an engine leaves, as a store does that is
+# back from an older copy, and the engine gets requests again.
+@pytest.mark.parametrize("is_list", [True, False])
+@pytest.mark.parametrize(("born", "is_in_doubt"), [(1, False), (2, True)])
+def test_engine_that_its_record_has_withdrawn_is_bound_by_that(
+    state, is_list, born, is_in_doubt
+):
+    leaving = engine_record("e1", state="draining")
+    state.apply_changes(StoreResponse((leaving,), 15))
+    records = (config_record(6), engine_record("e1", born=born), engine_record("e2"))
+    if is_list:
+        state.apply_list(StoreResponse(records, 16), may_be_incomplete=False)
+    else:
+        state.apply_changes(StoreResponse(records, 16))
+    assert usable_ids(state) == ["e2"]
+    assert [e.id for e in state.engines_in_doubt()] == ["e1"] * is_in_doubt
+
+
 # Guards against: nothing in the log says of which run of an engine a record spoke.
 @pytest.mark.parametrize("is_list", [True, False])
 def test_log_names_the_run_and_the_revision_of_a_changed_record(state, is_list):
