Order what is known of the store by era and revision

What callers saw: after the store was back from an older copy, requests went on reaching engines that had said 'draining' to it, and engines that it had removed; newly registered ones got none, until the revisions had caught up.

Cause: a restored store gives out revisions again, and a gateway ignored all that was below the highest revision it had seen. Now the era (header Store-Era, 0 without it) goes before the revision: for own reads, in digests, requests, and batches between peers. A watch that is answered in another era is followed by a list. After a restore engines that the copy lacks have 2 s to register again; an engine that had been removed is held until it writes its record anew, so that it needn't be asked; leaving engines and the config are never taken back. Peers of an earlier build are answered as before and not followed once the store names eras, so VMs then read the store themselves.

--- a/dotterelpitch/gateway/digest_exchange.py
+++ b/dotterelpitch/gateway/digest_exchange.py
@@ -1,5 +1,7 @@
 """Creates this gateway's digests and applies those of its peers."""
 
+from collections.abc import Callable
+from functools import partial
 from typing import TypeVar
 
 from dotterelpitch.clock import Clock
@@ -8,10 +10,13 @@
 from dotterelpitch.gateway.link_topology import LinkTopology, ReportScope
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.platform.store import StorePosition
 from dotterelpitch.protocol.gateway_messages import (
+    STORE_ERA_LINK_VERSION,
     ClearanceReport,
     CrashReport,
     GatewayDigest,
+    GatewayDigestOfEra,
 )
 from dotterelpitch.routing.crash_history import Clearance, Crash
 from dotterelpitch.routing.fleet_loads import FleetLoads
@@ -59,7 +64,10 @@
             self._part_suspects.updates_after(link.part_reports_sent)
         )
         config = self._state.config
-        return GatewayDigest(
+        make: Callable[..., GatewayDigest] = GatewayDigest
+        if link.peer.link_version >= STORE_ERA_LINK_VERSION:
+            make = partial(GatewayDigestOfEra, store_era=self._state.position.era)
+        return make(
             relay=self._topology.relay,
             config_version=config.version if config else 0,
             store_revision=self._state.revision,
@@ -83,11 +91,13 @@
         link.relay = digest.relay
         peer = link.peer
         store_age_s = digest.store_age_ms / 1000
-        self._reader_selection.record_report(
-            peer.name, peer.failure_domain, link.peer_is_relay, store_age_s
-        )
-        if digest.store_revision == self._state.revision:
-            self._state.confirm(digest.store_revision, store_age_s)
+        position = StorePosition(digest.store_era, digest.store_revision)
+        if position.era >= self._state.position.era:
+            self._reader_selection.record_report(
+                peer.name, peer.failure_domain, link.peer_is_relay, store_age_s
+            )
+        if position == self._state.position:
+            self._state.confirm(position, store_age_s)
         if self._topology.accepts_reports_from(link):
             self._loads.update_source(peer.name, digest.count_by_engine)
         else:
--- a/dotterelpitch/gateway/peer_links.py
+++ b/dotterelpitch/gateway/peer_links.py
@@ -20,6 +20,7 @@
 from dotterelpitch.protocol.connection import dial
 from dotterelpitch.protocol.gateway_messages import (
     FetchRecords,
+    FetchRecordsOfEra,
     FleetList,
     GatewayDigest,
     LinkOpened,
@@ -92,6 +93,7 @@
         self._handlers = handlers
         handlers.add(OpenLink, self._accept, background=True)
         handlers.add(FetchRecords, self._records.answer)
+        handlers.add(FetchRecordsOfEra, self._records.answer)
 
     async def run(self) -> None:
         """Update the links and send digests periodically, until cancelled."""
--- a/dotterelpitch/gateway/record_exchange.py
+++ b/dotterelpitch/gateway/record_exchange.py
@@ -1,6 +1,8 @@
 """Exchanges store records with peers, so that few gateways read the store."""
 
 import zlib
+from collections.abc import Callable
+from functools import partial
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import PeerError, ProtocolError
@@ -8,11 +10,14 @@
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.platform.config_record import CONFIG_KEY
-from dotterelpitch.platform.store import StoreRecord, StoreResponse
+from dotterelpitch.platform.store import StorePosition, StoreRecord, StoreResponse
 from dotterelpitch.protocol.gateway_messages import (
+    STORE_ERA_LINK_VERSION,
     FetchRecords,
+    FetchRecordsOfEra,
     GatewayDigest,
     RecordBatch,
+    RecordBatchOfEra,
     StoredRecord,
 )
 from dotterelpitch.protocol.stream import Stream
@@ -49,10 +54,8 @@
         """Return whether to fetch records from the sender of a digest now."""
         config = self._state.config
         version = config.version if config else 0
-        is_newer = (
-            digest.config_version > version
-            or digest.store_revision > self._state.revision
-        )
+        position = StorePosition(digest.store_era, digest.store_revision)
+        is_newer = digest.config_version > version or position > self._state.position
         if not is_newer or self._is_fetching:
             return False
         if config is None or not self._reader_selection.should_read_store():
@@ -81,10 +84,16 @@
         await stream.send(self.make_batch(request))
 
     def make_batch(self, request: FetchRecords) -> RecordBatch:
-        """Return the records that a peer lacks; the config only if it is newer."""
+        """Return the records that a peer lacks; the config only if it is newer.
+
+        The changes after a revision of another era aren't known.
+        """
         held = self._state.record_by_key
         missing = self._state.missing_keys()
-        keys = self._state.change_log.keys_after(request.store_revision)
+        era = self._state.position.era
+        keys = None
+        if request.store_era == era:
+            keys = self._state.change_log.keys_after(request.store_revision)
         is_full = keys is None
         if is_full:
             keys = [key for key in held if key not in missing]
@@ -92,7 +101,10 @@
         keys = [key for key in keys if key != CONFIG_KEY]
         if config is not None and config.version > request.config_version:
             keys.append(CONFIG_KEY)
-        return RecordBatch(
+        make: Callable[..., RecordBatch] = RecordBatch
+        if isinstance(request, FetchRecordsOfEra):
+            make = partial(RecordBatchOfEra, store_era=era)
+        return make(
             store_revision=self._state.revision,
             age_ms=self._state.age_ms,
             is_full=is_full,
@@ -108,11 +120,12 @@
     def apply_batch(self, batch: RecordBatch) -> None:
         """Apply a peer's records; engines only if the batch is newer than the state."""
         records = [StoreRecord(r.key, _decompress(r)) for r in batch.records]
-        if batch.store_revision <= self._state.revision:
+        position = StorePosition(batch.store_era, batch.store_revision)
+        if position <= self._state.position:
             self._state.apply_configs(records)
             return
         records += [StoreRecord(key, None) for key in batch.deleted]
-        response = StoreResponse(tuple(records), batch.store_revision)
+        response = StoreResponse(tuple(records), position.revision, position.era)
         age_s = batch.age_ms / 1000
         if batch.is_full:
             self._state.apply_list(response, batch.may_be_incomplete, age_s)
@@ -124,6 +137,9 @@
         version = config.version if config else 0
         before = self._state.revision
         request = FetchRecords(version, before)
+        if link.peer.link_version >= STORE_ERA_LINK_VERSION:
+            era = self._state.position.era
+            request = FetchRecordsOfEra(version, before, era)
         batch = await link.stream.connection.call(request, FETCH_TIMEOUT_SECONDS)
         if not isinstance(batch, RecordBatch):
             raise ProtocolError(f"expected RecordBatch, got {type(batch).__name__}")
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -6,9 +6,10 @@
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import PlatformError
 from dotterelpitch.gateway.change_log import ChangeLog
+from dotterelpitch.gateway.engine_removals import EngineRemovals
 from dotterelpitch.platform.config_record import CONFIG_KEY, ConfigDecoder
 from dotterelpitch.platform.engine_record import ENGINE_PREFIX, decode_engine
-from dotterelpitch.platform.store import StoreRecord, StoreResponse
+from dotterelpitch.platform.store import StorePosition, StoreRecord, StoreResponse
 from dotterelpitch.routing.engines import Engine, EngineDirectory, EngineRun
 from dotterelpitch.routing.leaving_engines import LeavingEngines
 from dotterelpitch.routing.route_table import DEFAULT_HEALTH_PATH, RoutingConfig
@@ -27,7 +28,7 @@
     A config is replaced only by one with a higher version. An invalid config record
     leaves the current config in force; an invalid engine record removes the engine.
 
-    ``revision`` is the store revision up to which all changes are applied.
+    ``position`` is where in the store's history all changes are applied.
     ``changed`` is set, and replaced by a new event, on each new revision or config and
     by ``notify_peers``;
     ``has_config`` is set with the first config.
@@ -44,9 +45,15 @@
         self.record_by_key: dict[str, bytes] = {}
         self.change_log = ChangeLog()
         self.changed = asyncio.Event()
-        self.revision = 0
+        self.position = StorePosition()
+        self._removals = EngineRemovals(clock)
         self.confirmed_at = float("-inf")
 
+    @property
+    def revision(self) -> int:
+        """The store revision, of the present era, up to which changes are applied."""
+        return self.position.revision
+
     @property
     def age_s(self) -> float:
         """Seconds since the store last confirmed this state, here or at a peer."""
@@ -62,20 +69,17 @@
     ) -> None:
         """Apply a full list of records that was current ``age_s`` seconds ago.
 
-        Only a newer config is used from a list older than ``revision``: its engines
-        would revert later changes. With ``may_be_incomplete``, engines that the list
-        lacks are kept for a while.
+        Only a newer config is used from a list older than ``position``: its engines
+        would revert later changes. With ``may_be_incomplete``, or when the store has
+        been restored, engines that the list lacks are kept for a while.
         """
-        if response.revision < self.revision:
+        if response.position < self.position:
             self._skip_older(response)
             return
         self.apply_configs(response.records)
-        engines = []
-        for record in response.records:
-            if record.key.startswith(ENGINE_PREFIX):
-                engine = self._decode_engine(record)
-                if engine is not None:
-                    engines.append(engine)
+        is_restored = self._is_restored(response)
+        may_be_incomplete |= is_restored
+        engines = self._listed_engines(response.records, is_restored)
         before_by_id = dict(self.directory.engine_by_id)
         known = set(before_by_id)
         self.directory.replace_all(engines, may_be_incomplete)
@@ -86,10 +90,45 @@
         for engine_id in known - {engine.id for engine in engines}:
             action = "kept-for-now" if may_be_incomplete else "removed"
             if not may_be_incomplete:
-                self.record_by_key.pop(ENGINE_PREFIX + engine_id, None)
+                self._forget_record(before_by_id[engine_id])
             log_event(Event.ENGINE_MISSING, engine=engine_id, action=action)
         self.change_log.restart(response.revision)
-        self.confirm(response.revision, age_s)
+        self.confirm(response.position, age_s)
+
+    def _is_restored(self, response: StoreResponse) -> bool:
+        """Return whether the store was restored from a copy since the last response."""
+        is_restored = bool(self.revision) and response.era > self.position.era
+        if is_restored:
+            log_event(
+                Event.STORE_RESTORED,
+                era=response.era,
+                revision=response.revision,
+                before=self.revision,
+            )
+        return is_restored
+
+    def _listed_engines(
+        self, records: Sequence[StoreRecord], is_restored: bool
+    ) -> list[Engine]:
+        """Return the engines of a list, without records that the store has lost again.
+
+        After a restore an engine that had been removed is listed until its record
+        expires; one that lives writes it anew.
+        """
+        engines = []
+        for record in records:
+            if not record.key.startswith(ENGINE_PREFIX):
+                continue
+            engine = self._decode_engine(record)
+            if engine is None:
+                continue
+            if is_restored:
+                self._removals.hold_if_removed(engine.run, record)
+            if self._removals.is_held(record):
+                self.record_by_key.pop(record.key, None)
+                continue
+            engines.append(engine)
+        return engines
 
     def missing_keys(self) -> set[str]:
         """Return the keys of engines kept although the last list lacked them."""
@@ -108,9 +147,9 @@
     def apply_changes(self, response: StoreResponse, age_s: float = 0.0) -> None:
         """Apply the changes of one watch that was current ``age_s`` seconds ago.
 
-        Only a newer config is used from changes older than ``revision``.
+        Only a newer config is used from changes older than ``position``.
         """
-        if response.revision < self.revision:
+        if response.position < self.position:
             self._skip_older(response)
             return
         self.apply_configs(response.records)
@@ -120,7 +159,7 @@
                 self._apply_engine(record, response.revision)
         keys = list(newest_by_key)
         self.change_log.add(response.revision, keys)
-        self.confirm(response.revision, age_s)
+        self.confirm(response.position, age_s)
 
     def _skip_older(self, response: StoreResponse) -> None:
         self.apply_configs(response.records)
@@ -163,16 +202,17 @@
         What engines that are gone have said of their leaving is forgotten.
         """
         self.leaving_engines.retain(e.run for e in self.directory.engine_by_id.values())
+        before_by_id = dict(self.directory.engine_by_id)
         for engine_id in self.directory.expire():
-            self.record_by_key.pop(ENGINE_PREFIX + engine_id, None)
+            self._forget_record(before_by_id[engine_id])
             log_event(Event.ENGINE_MISSING, engine=engine_id, action="removed")
 
-    def confirm(self, revision: int, age_s: float = 0.0) -> None:
-        """Record that the state of ``revision`` was current ``age_s`` seconds ago."""
+    def confirm(self, position: StorePosition, age_s: float = 0.0) -> None:
+        """Record that the state of ``position`` was current ``age_s`` seconds ago."""
         confirmed_at = self.clock.monotonic() - age_s
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        if revision > self.revision:
-            self.revision = revision
+        if position > self.position:
+            self.position = position
             self.notify_peers()
 
     def notify_peers(self) -> None:
@@ -222,6 +262,7 @@
         if engine is None:
             self._remove_engine(record.key, "entry unreadable")
             return
+        self._removals.release(record.key)
         before = self.directory.engine_by_id.get(engine.id)
         self.directory.put(engine)
         after = self.directory.engine_by_id[engine.id]
@@ -239,10 +280,18 @@
             self.record_leaving(engine.run, by_registry=True)
         return engine
 
+    def _forget_record(self, engine: Engine) -> None:
+        """Forget the record of an engine that has been removed."""
+        self.record_by_key.pop(ENGINE_PREFIX + engine.id, None)
+        self._removals.record(engine.run)
+
     def _remove_engine(self, key: str, reason: str) -> None:
         self.record_by_key.pop(key, None)
+        self._removals.release(key)
         engine_id = key.removeprefix(ENGINE_PREFIX)
-        if engine_id in self.directory.engine_by_id:
+        engine = self.directory.engine_by_id.get(engine_id)
+        if engine is not None:
+            self._removals.record(engine.run)
             self.directory.remove(engine_id)
             log_event(Event.ENGINE_MISSING, engine=engine_id, action=reason)
 
--- a/dotterelpitch/gateway/store_watcher.py
+++ b/dotterelpitch/gateway/store_watcher.py
@@ -75,6 +75,8 @@
             response = await self._store.watch(
                 ALL_KEYS_PREFIX, self._state.revision, self._watch_timeout_s
             )
+            if response.era != self._state.position.era:
+                raise HistoryLostError("the store was restored")
             self._state.apply_changes(response)
             if response.records:
                 await asyncio.sleep(BATCH_DELAY_SECONDS)
--- a/dotterelpitch/platform/store.py
+++ b/dotterelpitch/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import re
 from typing import Any
 
 import aiohttp
@@ -15,8 +16,10 @@
 # The store responds within milliseconds, so a slower list request is retried.
 LIST_TIMEOUT_SECONDS = 2.0
 
+_ERA_HEADER = "Store-Era"
 _RANGE_PATH = "/v1/kv-range"
 _WATCH_PATH = "/v1/kv-watch"
+_ERA = re.compile(r"[0-9]{1,18}")
 
 
 class HistoryLostError(PlatformError):
@@ -31,12 +34,33 @@
     value: bytes | None
 
 
+@frozen(order=True)
+class StorePosition:
+    """A point in the history of the store; later ones are greater.
+
+    The store gives out revisions again when it is restored from an older copy, and
+    then raises its era. ``era`` is 0 for a store that names none.
+
+    >>> StorePosition(era=1, revision=90) < StorePosition(era=2, revision=70)
+    True
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 @frozen
 class StoreResponse:
-    """Records, and the store revision that a reader is at after applying them."""
+    """Records, and where in the store's history a reader is after applying them."""
 
     records: tuple[StoreRecord, ...]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The era together with the revision."""
+        return StorePosition(self.era, self.revision)
 
 
 class StoreClient:
@@ -59,15 +83,18 @@
         """
         records: list[StoreRecord] = []
         query = {"path_prefix": prefix}
-        revision = None
+        first_era = revision = None
         while True:
-            page = await self._get(_RANGE_PATH, query, LIST_TIMEOUT_SECONDS)
+            era, page = await self._get(_RANGE_PATH, query, LIST_TIMEOUT_SECONDS)
             if revision is None:
+                first_era = era
                 revision = read_field(page, "store_revision", int)
+            if era != first_era:
+                raise HistoryLostError("the store was restored during the list")
             items = read_field(page, "items", list)
             records += [_decode_item(item) for item in items]
             if not read_field(page, "more_pages", bool, False) or not items:
-                return StoreResponse(tuple(records), revision)
+                return StoreResponse(tuple(records), revision, era)
             query = {"path_prefix": prefix, "after": records[-1].key}
 
     async def watch(self, prefix: str, revision: int, wait_s: float) -> StoreResponse:
@@ -75,18 +102,22 @@
 
         Waits up to ``wait_s`` seconds for the first change. Raises HistoryLostError
         when a full list is needed instead, and PlatformError when the store can't be
-        read.
+        read. If the response is of another era than ``revision``, the changes aren't
+        those since then.
         """
         query = {
             "path_prefix": prefix,
             "after": str(revision),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        content = await self._get(_WATCH_PATH, query, wait_s + WATCH_GRACE_SECONDS)
+        era, content = await self._get(_WATCH_PATH, query, wait_s + WATCH_GRACE_SECONDS)
         changes = tuple(_decode_item(e) for e in read_field(content, "events", list))
-        return StoreResponse(changes, read_field(content, "store_revision", int))
+        return StoreResponse(changes, read_field(content, "store_revision", int), era)
 
-    async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> Any:
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> tuple[int, Any]:
+        """Return the era of the store and the content of its response."""
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self._session.get(
@@ -100,11 +131,17 @@
                     raise PlatformError(
                         f"the store responded to {path} with status {response.status}"
                     )
-                return await response.json()
+                era = _decode_era(response.headers.get(_ERA_HEADER, ""))
+                return era, await response.json()
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise PlatformError(f"{type(error).__name__}: {error}") from error
 
 
+def _decode_era(value: str) -> int:
+    """Return the era, or 0 for a value that isn't one."""
+    return int(value) if _ERA.fullmatch(value) else 0
+
+
 def _decode_item(item: Any) -> StoreRecord:
     key = read_field(item, "key", str)
     if read_field(item, "deleted", bool, False):
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -4,6 +4,8 @@
 differ and may jump.
 """
 
+from typing import ClassVar
+
 from attrs import field, frozen
 
 from dotterelpitch.protocol.codec import message
@@ -16,7 +18,9 @@
 VERSION_HISTORY_LINK_VERSION = 3
 # The first one whose gateways understand LeavingEngineDigest.
 LEAVING_ENGINES_LINK_VERSION = 4
-LINK_VERSION = LEAVING_ENGINES_LINK_VERSION
+# The first one whose gateways know that revisions of the store belong to an era.
+STORE_ERA_LINK_VERSION = 5
+LINK_VERSION = STORE_ERA_LINK_VERSION
 """The link version of this program."""
 
 
@@ -91,6 +95,7 @@
     from no other link. ``crashes`` are those that weren't sent on this link before.
     """
 
+    store_era: ClassVar[int] = 0
     relay: str
     config_version: int
     store_revision: int
@@ -100,6 +105,13 @@
     cleared: list[ClearanceReport] = field(factory=list)
 
 
+@message(82)
+class GatewayDigestOfEra(GatewayDigest):
+    """A digest that names the era of the store's revision."""
+
+    store_era: int = 0
+
+
 @frozen
 class RateLimitReport:
     """The rate limit that the run of an engine named that began at ``started_ms``.
@@ -214,10 +226,18 @@
 class FetchRecords:
     """Requests the changes after a store revision, and the config if it is newer."""
 
+    store_era: ClassVar[int] = 0
     config_version: int
     store_revision: int
 
 
+@message(83)
+class FetchRecordsOfEra(FetchRecords):
+    """A request that names the era of the store's revision."""
+
+    store_era: int = 0
+
+
 @message(73)
 class RecordBatch:
     """The sender's store records as of ``store_revision``.
@@ -227,9 +247,17 @@
     missing from all records only because the store was unavailable until just now.
     """
 
+    store_era: ClassVar[int] = 0
     store_revision: int
     age_ms: int
     is_full: bool
     may_be_incomplete: bool
     records: list[StoredRecord] = field(factory=list)
     deleted: list[str] = field(factory=list)
+
+
+@message(84)
+class RecordBatchOfEra(RecordBatch):
+    """Records with the era of the store's revision."""
+
+    store_era: int = 0
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -58,6 +58,7 @@
     STORE_READER = (219, logging.INFO, "this VM starts or stops reading the store")
     FETCH_FAILED = (220, logging.WARNING, "fetching a peer's records failed")
     RECORDS_OLDER_IGNORED = (221, logging.INFO, "older records were ignored")
+    STORE_RESTORED = (222, logging.WARNING, "the store is back from an older copy")
     VM_LIST_CHANGED = (301, logging.INFO, "a VM list revision is in use")
     VM_LIST_OLDER_IGNORED = (302, logging.WARNING, "an older VM list was offered")
     VM_SUSPECTED = (303, logging.WARNING, "a listed VM is unreachable")
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -22,6 +22,7 @@
     StreamResumption,
 )
 from dotterelpitch.platform.cache_list import decode_cache_list
+from dotterelpitch.platform.store import StorePosition
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.routing.stream_origins import (
@@ -87,7 +88,7 @@
         may_be_incomplete=False,
     )
     clock.advance(known_for_s)
-    state.confirm(1)
+    state.confirm(StorePosition(revision=1))
     origins = StreamOrigins(clock)
     origins.record("packers", "r1", StreamOrigin(service, "v1"))
     finder = CachedPromptFinder(clock, state.directory, (caches or Caches()).read)
@@ -150,7 +151,7 @@
     call = make_call(resumes="unknown")
     assert resolve(resumption, call).refusal_reason == UNKNOWN_ORIGIN_REASON
     clock.advance(RETENTION_SECONDS + 1.0)
-    resumption._state.confirm(1)
+    resumption._state.confirm(StorePosition(revision=1))
     assert resolve(resumption, call) == Resumption("chat", "v2")
 
 
