--- a/tests/harness/proxy.py
+++ b/tests/harness/proxy.py
@@ -166,7 +166,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.is_refusing:
-            _reset(writer)
+            reset_writer(writer)
             return
         connection = ProxiedConnection(self, reader, writer)
         self.connections.add(connection)
@@ -239,13 +239,13 @@
         self._closed.set()
         for writer in (self._writer, self._target_writer):
             if writer is not None:
-                _reset(writer)
+                reset_writer(writer)
 
     def abort_target_only(self) -> None:
         """Reset the connection to the target and keep the client's open."""
         self._is_half_open = True
         if self._target_writer is not None:
-            _reset(self._target_writer)
+            reset_writer(self._target_writer)
 
     async def _pump(
         self,
@@ -299,7 +299,7 @@
                 await asyncio.wait_for(self._closed.wait(), remaining)
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset_writer(writer: asyncio.StreamWriter) -> None:
     """Close with a TCP reset (RST) and no orderly end (FIN)."""
     if not writer.transport.is_closing():
         sock = writer.get_extra_info("socket")
