Keep track of whether a VM reaches engines at all, and log it

A VM had no belief of its path to the engines as a whole, so the log couldn't tell 'no engine reaches me' from 'these engines are dead'. Now it has one: two engines that fail, with no response since on a connection that is new enough, mean that contact is lost; 428 and 429 and a gauge say so. While in doubt (a failure with no response for 0.15 s, or a request unanswered and no engine heard for 0.4 s) two engines are asked for a sign of life, and while contact is lost each 0.5 s, which tells when it is back. Peers tell one another. Nothing is decided by it yet.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -16,6 +16,8 @@
 from dotterelpitch.gateway.call_rules import CallRules
 from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.gateway.digest_exchange import DigestExchange
+from dotterelpitch.gateway.engine_contact_exchange import EngineContactExchange
+from dotterelpitch.gateway.engine_contact_watcher import EngineContactWatcher
 from dotterelpitch.gateway.engine_status_recorder import EngineStatusRecorder
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.forwarding import Forwarder
@@ -46,6 +48,7 @@
 from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
 from dotterelpitch.routing.engine_choice import EngineChooser
+from dotterelpitch.routing.engine_contact import EngineContact
 from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
@@ -103,6 +106,14 @@
         self.leaving_engine_checker = LeavingEngineChecker(
             self._clock, self.state, status_recorder.record_check
         )
+        self.contact = EngineContact(self._clock)
+        self.contact_watcher = EngineContactWatcher(
+            self._clock,
+            self.state,
+            self.contact,
+            engine_tracker.crash_detector,
+            self.state.notify_peers,
+        )
         self.links = LinkTable()
         self.metrics = GatewayMetrics(
             self.state,
@@ -112,6 +123,7 @@
             self.links,
             self.concurrency_limiter,
             self.rate_limits.registry,
+            self.contact,
         )
         self.ingress = Ingress(
             self._clock,
@@ -155,6 +167,7 @@
                 asyncio.create_task(keep_running("store", store_watcher.run)),
                 asyncio.create_task(keep_running("peers", self._peer_links.run)),
                 asyncio.create_task(keep_running("crashes", self.crash_watcher.run)),
+                asyncio.create_task(keep_running("contact", self.contact_watcher.run)),
                 asyncio.create_task(
                     keep_running("leaving", self.leaving_engine_checker.run)
                 ),
@@ -194,6 +207,7 @@
             self.crash_watcher,
             status_recorder,
             stream_resumption,
+            self.contact,
         )
         return Forwarder(
             self._clock,
@@ -239,6 +253,7 @@
             self._clock, self.state, self._topology, fleet, self.rate_limits
         )
         exchanges = [
+            EngineContactExchange(self.contact),
             LeavingEngineExchange(self.state),
             rate_limits,
             StreamOriginExchange(self._topology, self.stream_origins),
--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -24,6 +24,7 @@
 from dotterelpitch.routing.attempt_outcomes import AttemptOutcome
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
 from dotterelpitch.routing.engine_choice import EngineChoice
+from dotterelpitch.routing.engine_contact import EngineContact
 from dotterelpitch.routing.health import FailureKind
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.upstream.connection import EngineConnection, HttpResponseHead
@@ -92,6 +93,7 @@
         crash_watcher: CrashWatcher,
         status_recorder: EngineStatusRecorder,
         stream_resumption: StreamResumption,
+        contact: EngineContact,
     ) -> None:
         self._clock = clock
         self._pool = pool
@@ -99,6 +101,7 @@
         self._crash_watcher = crash_watcher
         self._status_recorder = status_recorder
         self._stream_resumption = stream_resumption
+        self._contact = contact
 
     async def run(
         self,
@@ -124,6 +127,8 @@
             )
         except NotSentError as error:
             failure = _FAILURE_BY_ERROR.get(type(error))
+            if failure is not None:
+                self._contact.record_failure(engine.id, is_connecting=True)
             return AttemptResult(AttemptOutcome.NOT_SENT, str(error), failure=failure)
         connect_s = self._clock.monotonic() - started
         observer = AttemptObserver(
@@ -131,8 +136,10 @@
             self._crash_watcher,
             self._status_recorder,
             self._stream_resumption,
+            self._contact,
             call,
             engine,
+            connection,
         )
         try:
             connection.send(
@@ -151,6 +158,7 @@
             failure = _FAILURE_BY_ERROR[type(error)]
             return AttemptResult(AttemptOutcome.LOST, str(error), failure=failure)
         except TimeoutError:
+            observer.timed_out()
             return AttemptResult(
                 AttemptOutcome.TIMED_OUT,
                 "no answer in time",
--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -18,8 +18,10 @@
     LimitChange,
 )
 from dotterelpitch.routing.crash_detector import UnansweredAttempt
+from dotterelpitch.routing.engine_contact import EngineContact
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.telemetry.events import Event, log_event
+from dotterelpitch.upstream.connection import EngineConnection
 
 
 @define
@@ -34,12 +36,15 @@
     _crash_watcher: CrashWatcher
     _status_recorder: EngineStatusRecorder
     _stream_resumption: StreamResumption
+    _contact: EngineContact
     _call: Call
     _engine: Engine
+    _connection: EngineConnection
     _request: InFlightRequest = field(init=False)
     _attempt: UnansweredAttempt = field(init=False)
     _report_end: Callable[[UnansweredAttempt], None] = field(init=False)
     _is_crowded: bool = field(default=True, init=False)
+    _has_head: bool = field(default=False, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._report_end = partial(self._crash_watcher.attempt_ended, is_broken=False)
@@ -58,6 +63,8 @@
 
         A rejection counts as late, unless the engine is left alone for it anyway.
         """
+        self._has_head = True
+        self._contact.record_response(self._connection.opened_at)
         self.data_received()
         self._status_recorder.record(self._engine, response_class, status)
         if status.load is not None:
@@ -90,8 +97,19 @@
 
     def connection_broke(self) -> None:
         """Record that the connection broke before the response was complete."""
+        self._record_silence()
         self._report_end = partial(self._crash_watcher.attempt_ended, is_broken=True)
 
+    def timed_out(self) -> None:
+        """Record that the response, or the rest of it, didn't come in time."""
+        self._record_silence()
+
+    def _record_silence(self) -> None:
+        """Record that the engine may be unreachable if it hasn't responded at all."""
+        if not self._has_head:
+            is_new = not self._connection.has_responded
+            self._contact.record_failure(self._engine.id, is_new)
+
     def ended(self) -> None:
         """Record that the attempt has ended."""
         self._concurrency_limiter.request_ended(self._request)
--- /dev/null
+++ b/dotterelpitch/gateway/engine_contact_watcher.py
@@ -0,0 +1,103 @@
+"""Finds out whether this VM reaches engines, when its own calls leave it in doubt."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from dotterelpitch.clock import Clock
+from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.routing.crash_detector import CrashDetector
+from dotterelpitch.routing.engine_contact import ContactState, EngineContact
+from dotterelpitch.routing.engines import Engine
+from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
+
+SWEEP_INTERVAL_SECONDS = 0.1
+# The interval of the checks; while contact is lost they tell when it is back.
+CHECK_INTERVAL_SECONDS = 0.5
+CHECK_TIMEOUT_SECONDS = 0.3
+# Engines asked at a time; as many failures as make contact count as lost.
+ENGINES_ASKED = 2
+# With a request unanswered and nothing heard from any engine for this long, the path is
+# in doubt as well.
+SILENCE_SECONDS = 0.4
+
+RunCheck = Callable[[EngineCheck], Awaitable[CheckResult]]
+
+_RESPONSES = {CheckResult.RESPONDED, CheckResult.RETURNED, CheckResult.REPLACED}
+
+
+class EngineContactWatcher:
+    """Asks two engines for a sign of life while contact is in doubt or lost.
+
+    ``on_change`` is called when contact is lost or back.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        state: GatewayState,
+        contact: EngineContact,
+        crash_detector: CrashDetector,
+        on_change: Callable[[], None],
+        run_check: RunCheck = EngineCheck.run,
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._contact = contact
+        self._crash_detector = crash_detector
+        self._on_change = on_change
+        self._run_check = run_check
+        self._asked_at = float("-inf")
+        self._was_lost = False
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            self.sweep()
+            await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
+
+    def sweep(self) -> None:
+        """Report a change, and start checks if they are due."""
+        self._contact.log_change()
+        if self._contact.is_lost is not self._was_lost:
+            self._was_lost = self._contact.is_lost
+            self._on_change()
+        now = self._clock.monotonic()
+        if self._is_in_doubt(now) and now - self._asked_at >= CHECK_INTERVAL_SECONDS:
+            self._asked_at = now
+            for engine in self._sample():
+                task = asyncio.create_task(self._check(engine))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    def _is_in_doubt(self, now: float) -> bool:
+        if self._contact.state is not ContactState.IN_CONTACT:
+            return True
+        if now - self._contact.heard_at < SILENCE_SECONDS:
+            return False
+        return bool(self._crash_detector.silent_engines())
+
+    def _sample(self) -> list[Engine]:
+        """Return some engines at random, none that leaves."""
+        engines = [
+            engine
+            for engine in self._state.directory.engine_by_id.values()
+            if not engine.is_leaving
+        ]
+        return random.sample(engines, min(ENGINES_ASKED, len(engines)))
+
+    async def _check(self, engine: Engine) -> None:
+        began = self._clock.monotonic()
+        check = EngineCheck(
+            engine.id,
+            engine.address,
+            self._state.health_path(engine),
+            is_needed=lambda: True,
+            patience_s=0.0,
+            timeout_s=CHECK_TIMEOUT_SECONDS,
+        )
+        if await self._run_check(check) in _RESPONSES:
+            self._contact.record_response(began)
+        else:
+            self._contact.record_failure(engine.id, is_connecting=True)
--- a/dotterelpitch/gateway/link.py
+++ b/dotterelpitch/gateway/link.py
@@ -19,8 +19,10 @@
     the fleet in contact that was sent last. ``streams_told`` are the streams whose
     origins were sent, and ``versions_sent`` is the update count of the history of
     versions sent last. ``leaving_sent`` is the same of the engines that leave by their
-    own word. ``list_sent`` is the last fleet list sent and ``list_sent_at`` its time on
-    the monotonic clock, in seconds.
+    own word. ``contact_sent`` is whether the peer was told that this VM reaches
+    engines, and ``peer_reaches_engines`` what it has said of itself; None before that.
+    ``list_sent`` is the last fleet list sent and ``list_sent_at`` its time on the
+    monotonic clock, in seconds.
     """
 
     peer: FleetVm
@@ -34,6 +36,8 @@
     streams_told: ToldStreams = field(factory=ToldStreams)
     versions_sent: int = 0
     leaving_sent: int = 0
+    contact_sent: bool | None = None
+    peer_reaches_engines: bool | None = None
     list_sent: tuple[FleetVm, ...] = ()
     list_sent_at: float = float("-inf")
 
--- a/dotterelpitch/gateway/metrics.py
+++ b/dotterelpitch/gateway/metrics.py
@@ -11,6 +11,7 @@
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.protocol.traffic import traffic_totals
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
+from dotterelpitch.routing.engine_contact import EngineContact
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.health import EngineHealth
 from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
@@ -42,6 +43,7 @@
         links: LinkTable,
         concurrency_limiter: AdaptiveConcurrencyLimiter,
         rate_limits: RateLimitRegistry,
+        contact: EngineContact,
     ) -> None:
         self._state = state
         self._loads = loads
@@ -50,6 +52,7 @@
         self._links = links
         self._concurrency_limiter = concurrency_limiter
         self._rate_limits = rate_limits
+        self._contact = contact
         self.events = _counter(
             "events", "Logged events, by event number and name.", "number", "name"
         )
@@ -143,6 +146,11 @@
                 self._engine_rate_limits,
                 "engine",
             ),
+            _gauge(
+                "engines_unreached",
+                "1 while no engine seems to be reachable from this VM, else 0.",
+                self._engines_unreached,
+            ),
             _gauge(
                 "config_version",
                 "Version of the config in force, 0 for none.",
@@ -222,6 +230,9 @@
             for limit in self._rate_limits.in_force()
         ]
 
+    def _engines_unreached(self) -> Iterable[Sample]:
+        return [((), int(self._contact.is_lost))]
+
     def _config_version(self) -> Iterable[Sample]:
         config = self._state.config
         return [((), config.version if config else 0)]
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -20,7 +20,9 @@
 LEAVING_ENGINES_LINK_VERSION = 4
 # The first one whose gateways know that revisions of the store belong to an era.
 STORE_ERA_LINK_VERSION = 5
-LINK_VERSION = STORE_ERA_LINK_VERSION
+# The first one whose gateways tell whether they reach engines.
+ENGINE_CONTACT_LINK_VERSION = 6
+LINK_VERSION = ENGINE_CONTACT_LINK_VERSION
 """The link version of this program."""
 
 
@@ -215,6 +217,13 @@
     engines: list[LeavingEngine] = field(factory=list)
 
 
+@message(85)
+class EngineContactDigest:
+    """Whether the sender reaches engines."""
+
+    reaches_engines: bool
+
+
 @message(77)
 class FleetList:
     """The gateways that the sender reports as running; replaces its previous list."""
--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -38,14 +38,17 @@
     """Sends one request at a time and reads its response.
 
     ``is_reusable`` becomes False, and stays so, as soon as the next response might
-    not belong to the next request. ``has_ended_response`` is whether the last response
-    was complete only by the connection's end. ``idle_since`` is a time of the monotonic
-    clock in seconds, and ``idle_limit_s`` how long the engine keeps an idle connection
-    open.
+    not belong to the next request. ``has_responded`` is whether any response has begun
+    on the connection. ``has_ended_response`` is whether the last response
+    was complete only by the connection's end. ``opened_at`` and ``idle_since`` are
+    times of the monotonic clock in seconds, and ``idle_limit_s`` how long the engine
+    keeps an idle connection open.
     """
 
     def __init__(self) -> None:
         self.is_reusable = True
+        self.has_responded = False
+        self.opened_at = 0.0
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_SECONDS
         self._transport: asyncio.Transport | None = None
@@ -197,6 +200,7 @@
             and "chunked" not in value_by_name.get("transfer-encoding", "").lower()
         )
         self._overhead_bytes = 0
+        self.has_responded = True
         self._head = HttpResponseHead(status, self._raw_headers, value_by_name)
         if not self._expects_body:
             self._is_complete = True
--- a/dotterelpitch/upstream/pool.py
+++ b/dotterelpitch/upstream/pool.py
@@ -56,6 +56,7 @@
             if len(connections) >= limit and not self._close_oldest_idle(connections):
                 raise PoolFullError(f"{limit} connections to {engine_id} are in use")
             connection = await open_connection(address)
+            connection.opened_at = self._clock.monotonic()
             self.opened_count += 1
         connections.busy.add(connection)
         return connection
--- /dev/null
+++ b/tests/test_engine_contact.py
@@ -0,0 +1,116 @@
+"""What a VM believes of its path to the engines: tables over the decision code."""
+
+import asyncio
+
+import pytest
+
+from dotterelpitch.clock import ManualClock
+from dotterelpitch.gateway.engine_contact_watcher import (
+    CHECK_INTERVAL_SECONDS,
+    EngineContactWatcher,
+)
+from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.routing.engine_contact import (
+    DOUBT_SECONDS,
+    FAILURE_TTL_SECONDS,
+    ContactState,
+    EngineContact,
+)
+from dotterelpitch.routing.engines import Engine
+from dotterelpitch.upstream.engine_check import CheckResult
+
+NEW, OLD = True, False
+NOW = 100.0
+
+
+class NoSilentEngines:
+    """A crash detector for which no engine is silent, or one is."""
+
+    def __init__(self, silent=()):
+        self.silent = silent
+
+    def silent_engines(self):
+        return list(self.silent)
+
+
+# Guards against: one dead engine is taken for a cut, or a cut for dead engines.
+@pytest.mark.parametrize(
+    ("failures", "opened_at", "wait_s", "expected"),
+    [
+        ([], None, 0.0, ContactState.IN_CONTACT),
+        ([("e1", NEW)], None, 0.0, ContactState.IN_CONTACT),
+        ([("e1", NEW)], None, DOUBT_SECONDS, ContactState.IN_DOUBT),
+        ([("e1", NEW), ("e1", NEW)], None, 0.0, ContactState.IN_CONTACT),
+        ([("e1", NEW), ("e2", NEW)], None, 0.0, ContactState.LOST),
+        ([("e1", OLD), ("e2", NEW)], None, 0.0, ContactState.LOST),
+        ([("e1", NEW), ("e2", NEW)], NOW + 1.0, 0.0, ContactState.IN_CONTACT),
+        # An open connection lives on, but new ones fail.
+        ([("e1", NEW), ("e2", NEW)], NOW - 1.0, 0.0, ContactState.LOST),
+        ([("e1", OLD), ("e2", OLD)], NOW - 1.0, 0.0, ContactState.IN_CONTACT),
+        (
+            [("e1", NEW), ("e2", NEW)],
+            None,
+            FAILURE_TTL_SECONDS + 0.1,
+            ContactState.IN_CONTACT,
+        ),
+    ],
+)
+def test_contact_is_lost_if_engines_fail_and_none_responds(
+    failures, opened_at, wait_s, expected
+):
+    clock = ManualClock(NOW)
+    contact = EngineContact(clock)
+    for engine_id, is_connecting in failures:
+        contact.record_failure(engine_id, is_connecting)
+    if opened_at is not None:
+        contact.record_response(opened_at)
+    clock.advance(wait_s)
+    assert contact.state is expected
+
+
+# Guards against: a VM that is cut off and idle doesn't notice, or doesn't come back.
+@pytest.mark.parametrize(
+    ("is_silent", "failed", "result", "asked", "is_lost"),
+    [
+        (False, (), CheckResult.SILENT, 0, False),
+        (True, (), CheckResult.SILENT, 2, True),
+        (True, (), CheckResult.RESPONDED, 2, False),
+        (False, ("e1",), CheckResult.REFUSED, 2, True),
+        (False, ("e1",), CheckResult.RESPONDED, 2, False),
+        (False, ("e1", "e2"), CheckResult.RESPONDED, 2, False),
+        (False, ("e1", "e2"), CheckResult.BROKEN, 2, True),
+    ],
+)
+async def test_two_engines_are_asked_while_contact_is_in_doubt(
+    is_silent, failed, result, asked, is_lost
+):
+    clock = ManualClock(NOW)
+    state = GatewayState(clock)
+    engines = [Engine(f"e{n}", "chat", f"10.0.0.{n}:1", "a") for n in (1, 2, 3)]
+    state.directory.replace_all(engines, may_be_incomplete=False)
+    contact = EngineContact(clock)
+    contact.record_response(NOW)
+    checks, changes = [], []
+
+    async def run_check(check):
+        checks.append(check.engine_id)
+        return result
+
+    watcher = EngineContactWatcher(
+        clock,
+        state,
+        contact,
+        NoSilentEngines(engines[:1] if is_silent else ()),
+        lambda: changes.append(contact.is_lost),
+        run_check,
+    )
+    for engine_id in failed:
+        contact.record_failure(engine_id, is_connecting=True)
+    clock.advance(CHECK_INTERVAL_SECONDS)
+    watcher.sweep()
+    watcher.sweep()
+    await asyncio.sleep(0)
+    watcher.sweep()
+    assert len(checks) == asked
+    assert contact.is_lost is is_lost
+    assert (changes[-1] if changes else False) is is_lost
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -14,6 +14,7 @@
 from dotterelpitch.platform.store import StorePosition, StoreRecord, StoreResponse
 from dotterelpitch.protocol.gateway_messages import (
     LINK_VERSION,
+    STORE_ERA_LINK_VERSION,
     FetchRecords,
     FetchRecordsOfEra,
     FleetVm,
@@ -185,7 +186,10 @@
 # Guards against: peers that know no eras get a message that they can't read.
 @pytest.mark.parametrize(
     ("link_version", "digest_type"),
-    [(LINK_VERSION - 1, GatewayDigest), (LINK_VERSION, GatewayDigestOfEra)],
+    [
+        (STORE_ERA_LINK_VERSION - 1, GatewayDigest),
+        (STORE_ERA_LINK_VERSION, GatewayDigestOfEra),
+    ],
 )
 def test_digest_names_the_era_to_peers_that_understand_it(
     clock, link_version, digest_type
