--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -9,6 +9,7 @@
 from dotterelpitch.gateway.call import Call
 from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.gateway.engine_status_recorder import EngineStatusRecorder
+from dotterelpitch.gateway.response_forwarding import ResponseObserver
 from dotterelpitch.gateway.stream_resumption import StreamResumption
 from dotterelpitch.platform.engine_status import EngineStatus
 from dotterelpitch.platform.headers import ResponseClass
@@ -25,7 +26,7 @@
 
 
 @define
-class AttemptObserver:
+class AttemptObserver(ResponseObserver):
     """Reports one attempt, from sending its request on.
 
     An engine that doesn't report its load is taken to be crowded, so a late response
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -5,7 +5,7 @@
 from attrs import evolve
 
 from dotterelpitch.clock import Clock
-from dotterelpitch.gateway.attempt import AttemptLimits, AttemptRunner
+from dotterelpitch.gateway.attempt import AttemptRunner
 from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.call import Call, ResponseWriter
 from dotterelpitch.gateway.call_log import log_choice, log_end, log_failure
@@ -14,6 +14,7 @@
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
 from dotterelpitch.gateway.refusals import refuse
+from dotterelpitch.gateway.response_forwarding import AttemptLimits
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.stream_resumption import (
     NO_ENGINE_OF_VERSION_REASON,
--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -12,6 +12,7 @@
     AnswerLostError,
     PathLostError,
 )
+from dotterelpitch.upstream.response_source import ResponseSource
 
 # Reading from the engine pauses while more than this of a body is unread.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
@@ -34,7 +35,7 @@
     value_by_name: Mapping[str, str]
 
 
-class EngineConnection(asyncio.Protocol):
+class EngineConnection(asyncio.Protocol, ResponseSource):
     """Sends one request at a time and reads its response.
 
     ``is_reusable`` becomes False, and stays so, as soon as the next response might
--- /dev/null
+++ b/dotterelpitch/upstream/response_source.py
@@ -0,0 +1,19 @@
+"""The interface of what the body of a response is read from."""
+
+from abc import ABC, abstractmethod
+
+
+class ResponseSource(ABC):
+    """Where a response comes from.
+
+    ``has_ended_response`` is whether it was complete only by the connection's end.
+    """
+
+    has_ended_response = False
+
+    @abstractmethod
+    async def read_body(self) -> bytes:
+        """Return the next bytes of the body, or ``b""`` at its regular end.
+
+        Raises AnswerLostError if the body ends too early.
+        """
