Have a peer send calls to engines while a VM reaches none

Calls went from engine to engine, 0.1 s each, and ended with 503.

Cause: a VM had no belief of its path to the engines as a whole, and nothing else to do with a call than to try engines. Class: one-sided evidence taken for the state of others.

A link that breaks after the whole call was sent means that it may have run: an unsafe call isn't sent again. A caller that leaves cancels the engine's work through the peer. A stream of this VM that breaks goes on at a peer, restricted to its version.

Weighed: not being ready, which moves no open connection, takes two seconds, and does nothing where most of a failure domain is cut off.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -28,7 +28,9 @@
 from dotterelpitch.gateway.link_topology import LinkTopology
 from dotterelpitch.gateway.listeners import Listeners
 from dotterelpitch.gateway.metrics import GatewayMetrics
+from dotterelpitch.gateway.peer_call_server import PeerCallServer
 from dotterelpitch.gateway.peer_directory import PeerDirectory
+from dotterelpitch.gateway.peer_forwarder import PeerForwarder
 from dotterelpitch.gateway.peer_links import PeerLinks
 from dotterelpitch.gateway.rate_limit_exchange import RateLimitExchange
 from dotterelpitch.gateway.reader_selection import ReaderSelection
@@ -42,8 +44,10 @@
 from dotterelpitch.gateway.version_history_exchange import VersionHistoryExchange
 from dotterelpitch.platform.store import StoreClient
 from dotterelpitch.platform.vm_settings import VmSettings
+from dotterelpitch.protocol.forwarded_call_messages import ForwardCall
 from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
 from dotterelpitch.protocol.handshake import Identity
+from dotterelpitch.protocol.peer_pool import PeerPool
 from dotterelpitch.protocol.server import HandlerTable, InnerServer
 from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
@@ -106,7 +110,7 @@
         self.leaving_engine_checker = LeavingEngineChecker(
             self._clock, self.state, status_recorder.record_check
         )
-        self.contact = EngineContact(self._clock)
+        self.contact = EngineContact(self._clock, self.state.directory.usable_count)
         self.contact_watcher = EngineContactWatcher(
             self._clock,
             self.state,
@@ -114,6 +118,9 @@
             engine_tracker.crash_detector,
             self.state.notify_peers,
         )
+        self._identity = Identity.create(vm.vm_name, "gateway", settings.cluster_key)
+        self._fleet = PeerDirectory(self._clock, self._own_fleet_vm())
+        self._peer_pool = PeerPool(self._identity)
         self.links = LinkTable()
         self.metrics = GatewayMetrics(
             self.state,
@@ -125,14 +132,19 @@
             self.rate_limits.registry,
             self.contact,
         )
-        self.ingress = Ingress(
+        forwarder = self._create_forwarder(status_recorder)
+        body_memory = BodyMemory.for_vm(vm.memory_mb)
+        self.ingress = Ingress(self._clock, self.state, forwarder, body_memory)
+        self.peer_calls = PeerCallServer(
             self._clock,
             self.state,
-            self._create_forwarder(status_recorder),
-            BodyMemory.for_vm(vm.memory_mb),
+            self.contact,
+            forwarder,
+            body_memory,
+            self.ingress.work,
         )
         self.handlers = HandlerTable()
-        self._identity = Identity.create(vm.vm_name, "gateway", settings.cluster_key)
+        self.handlers.add(ForwardCall, self.peer_calls.handle)
         self._reader_selection = ReaderSelection(
             self._clock, vm.vm_name, vm.failure_domain
         )
@@ -183,6 +195,7 @@
         listeners.close()
         await inner.close()
         self.pool.close()
+        self._peer_pool.close()
         log_event(Event.PROCESS_STOPPED, vm=self._vm.vm_name, role="gateway")
 
     def _create_forwarder(self, status_recorder: EngineStatusRecorder) -> Forwarder:
@@ -221,6 +234,9 @@
             attempt_runner,
             self.rate_limits,
             stream_resumption,
+            PeerForwarder(
+                self._clock, self.contact, self._fleet, self.links, self._peer_pool
+            ),
         )
 
     def _create_chooser(self) -> EngineChooser:
@@ -237,7 +253,7 @@
         )
 
     def _create_peer_links(self) -> PeerLinks:
-        fleet = PeerDirectory(self._clock, self._own_fleet_vm())
+        fleet = self._fleet
         self._topology = LinkTopology(
             self._clock, fleet, self.links, self._vm.seeds, self._settings.mesh_vms
         )
@@ -253,7 +269,7 @@
             self._clock, self.state, self._topology, fleet, self.rate_limits
         )
         exchanges = [
-            EngineContactExchange(self.contact),
+            EngineContactExchange(self._clock, self.contact),
             LeavingEngineExchange(self.state),
             rate_limits,
             StreamOriginExchange(self._topology, self.stream_origins),
@@ -295,6 +311,7 @@
             open_requests=len(self.ingress.work.names()),
         )
         self.ingress.is_stopping = True
+        self.peer_calls.is_stopping = True
         grace_s = self._vm.promises.stop_grace_s - STOP_MARGIN_SECONDS
         linger_s = min(LINGER_SECONDS, grace_s / 2)
         await asyncio.sleep(linger_s)
--- a/dotterelpitch/gateway/call_progress.py
+++ b/dotterelpitch/gateway/call_progress.py
@@ -16,6 +16,8 @@
     ``sent_count`` and ``unsent_count`` count the attempts whose request was and was
     not sent. ``may_have_run`` is whether an engine may have run the request.
     ``version`` is the engine version that has begun the stream, or None before that.
+    ``may_use_peers`` is whether the call may be forwarded to a peer; ``asked_vms`` are
+    the peers that it was offered to.
     """
 
     events: EventStreamFilter
@@ -27,5 +29,7 @@
     unsent_count: int = 0
     may_have_run: bool = False
     version: str | None = None
+    may_use_peers: bool = True
+    asked_vms: list[str] = field(factory=list)
     is_delivered: bool = False
     last_result: AttemptResult | None = None
--- a/dotterelpitch/gateway/engine_contact_exchange.py
+++ b/dotterelpitch/gateway/engine_contact_exchange.py
@@ -1,5 +1,6 @@
 """Tells peers whether this gateway reaches engines."""
 
+from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.link import Link
 from dotterelpitch.gateway.peer_exchange import PeerExchange
 from dotterelpitch.protocol.gateway_messages import (
@@ -15,7 +16,8 @@
     message_type = EngineContactDigest
     link_version = ENGINE_CONTACT_LINK_VERSION
 
-    def __init__(self, contact: EngineContact) -> None:
+    def __init__(self, clock: Clock, contact: EngineContact) -> None:
+        self._clock = clock
         self._contact = contact
 
     def make(self, link: Link) -> EngineContactDigest | None:
@@ -29,3 +31,4 @@
     def apply(self, link: Link, digest: EngineContactDigest) -> None:
         """Record what a peer says."""
         link.peer_reaches_engines = digest.reaches_engines
+        link.peer_said_at = self._clock.monotonic()
--- a/dotterelpitch/gateway/engine_contact_watcher.py
+++ b/dotterelpitch/gateway/engine_contact_watcher.py
@@ -14,7 +14,7 @@
 SWEEP_INTERVAL_SECONDS = 0.1
 # The interval of the checks; while contact is lost they tell when it is back.
 CHECK_INTERVAL_SECONDS = 0.5
-CHECK_TIMEOUT_SECONDS = 0.3
+CHECK_TIMEOUT_SECONDS = 0.25
 # Engines asked at a time; as many failures as make contact count as lost.
 ENGINES_ASKED = 2
 # With a request unanswered and nothing heard from any engine for this long, the path is
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from dotterelpitch.gateway.call_rules import CallRules, RateLimitRule
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
+from dotterelpitch.gateway.peer_forwarder import PeerForwarder
 from dotterelpitch.gateway.refusals import refuse
 from dotterelpitch.gateway.response_forwarding import AttemptLimits
 from dotterelpitch.gateway.state import GatewayState
@@ -72,6 +73,7 @@
         attempt_runner: AttemptRunner,
         rate_limits: FleetRateLimits,
         stream_resumption: StreamResumption,
+        peer_forwarder: PeerForwarder,
     ) -> None:
         self._clock = clock
         self._state = state
@@ -84,27 +86,79 @@
         self._attempt_runner = attempt_runner
         self._rate_limits = rate_limits
         self._stream_resumption = stream_resumption
+        self._peer_forwarder = peer_forwarder
 
-    async def forward(self, call: Call, writer: ResponseWriter) -> None:
-        """Send the caller an engine's response, or a refusal with its reason."""
-        resumption = await self._stream_resumption.resolve(call)
-        if resumption.service != call.service:
-            call = evolve(call, service=resumption.service)
-        progress = CallProgress(
-            EventStreamFilter(call.headers.last_event_id), version=resumption.version
-        )
-        reason = resumption.refusal_reason or self._rules.refusal_reason(call, progress)
-        if reason:
-            await self._refuse(call, progress, writer, FinalResponse.REFUSAL, reason)
-            return
-        self._retry_budget.request_started(call.service)
+    async def forward(
+        self, call: Call, writer: ResponseWriter, progress: CallProgress | None = None
+    ) -> None:
+        """Send the caller an engine's response, or a refusal with its reason.
+
+        ``progress`` is what has been done for the call before, if a peer has forwarded
+        it. While no engine is reachable from here, a peer sends the call to engines.
+        """
+        if progress is None:
+            progress = CallProgress(EventStreamFilter(call.headers.last_event_id))
         try:
-            await self._forward(call, progress, writer)
+            if not await self._forward_to_peers(call, progress, writer):
+                await self._forward_from_here(call, progress, writer)
         finally:
             if not progress.is_delivered and self._has_just_begun(writer):
                 # The caller may take the stream up again at another VM now.
                 self._state.notify_peers()
 
+    async def _forward_from_here(
+        self, call: Call, progress: CallProgress, writer: ResponseWriter
+    ) -> None:
+        """Send a call to engines, unless its stream or a rule forbids it."""
+        reason = ""
+        if progress.version is None:
+            resumption = await self._stream_resumption.resolve(call)
+            if resumption.service != call.service:
+                call = evolve(call, service=resumption.service)
+            progress.version = resumption.version
+            reason = resumption.refusal_reason
+        reason = reason or self._rules.refusal_reason(call, progress)
+        if reason:
+            await self._refuse(call, progress, writer, FinalResponse.REFUSAL, reason)
+            return
+        self._retry_budget.request_started(call.service)
+        await self._forward(call, progress, writer)
+
+    async def _forward_to_peers(
+        self, call: Call, progress: CallProgress, writer: ResponseWriter
+    ) -> bool:
+        """Forward a call to a peer if no engine is reachable from here.
+
+        Return whether the call is done; it isn't if no peer takes it.
+        """
+        while (vm := self._peer_forwarder.choose(progress)) is not None:
+            result = await self._peer_forwarder.run(vm, call, progress, writer)
+            progress.last_result = result
+            if result.outcome is AttemptOutcome.NOT_SENT:
+                continue
+            if result.outcome is AttemptOutcome.DELIVERED:
+                self._log_delivered(call, progress, writer, result)
+                return True
+            progress.sent_count += 1
+            progress.may_have_run = True
+            log_failure(call, vm.name, progress, writer.is_started)
+            if writer.is_started or not self._rules.may_retry(call, progress):
+                await self._give_up(call, progress, writer)
+                return True
+        return False
+
+    def _log_delivered(
+        self,
+        call: Call,
+        progress: CallProgress,
+        writer: ResponseWriter,
+        result: AttemptResult,
+        engine_id: str = "",
+    ) -> None:
+        progress.is_delivered = True
+        now = self._clock.monotonic()
+        log_end(call, writer, "completed", result, now, engine_id)
+
     async def _forward(
         self, call: Call, progress: CallProgress, writer: ResponseWriter
     ) -> None:
@@ -115,12 +169,12 @@
                 break
             result = await self._attempt(call, choice, progress, writer)
             if result.outcome is AttemptOutcome.DELIVERED:
-                progress.is_delivered = True
-                now = self._clock.monotonic()
-                log_end(call, writer, "completed", result, now, choice.engine.id)
+                self._log_delivered(call, progress, writer, result, choice.engine.id)
                 return
             if not self._rules.may_retry(call, progress):
                 break
+            if await self._forward_to_peers(call, progress, writer):
+                return
         await self._give_up(call, progress, writer)
 
     def _has_just_begun(self, writer: ResponseWriter) -> bool:
--- a/dotterelpitch/gateway/link.py
+++ b/dotterelpitch/gateway/link.py
@@ -21,6 +21,7 @@
     versions sent last. ``leaving_sent`` is the same of the engines that leave by their
     own word. ``contact_sent`` is whether the peer was told that this VM reaches
     engines, and ``peer_reaches_engines`` what it has said of itself; None before that.
+    ``peer_said_at`` is when, on the monotonic clock.
     ``list_sent`` is the last fleet list sent and ``list_sent_at`` its time on the
     monotonic clock, in seconds.
     """
@@ -38,6 +39,7 @@
     leaving_sent: int = 0
     contact_sent: bool | None = None
     peer_reaches_engines: bool | None = None
+    peer_said_at: float = float("-inf")
     list_sent: tuple[FleetVm, ...] = ()
     list_sent_at: float = float("-inf")
 
--- a/dotterelpitch/routing/engine_contact.py
+++ b/dotterelpitch/routing/engine_contact.py
@@ -5,6 +5,7 @@
 meanwhile, it is likely the path, and if peers still reach engines at that time, it is.
 """
 
+from collections.abc import Callable
 from enum import StrEnum
 
 from attrs import define, field, frozen
@@ -12,10 +13,13 @@
 from dotterelpitch.clock import Clock
 from dotterelpitch.telemetry.events import Event, log_event
 
-# So many engines must have failed, with no response since, for contact to be lost.
+# So many engines must have failed, with no response since, for contact to be lost; all
+# of them if there are fewer.
 MIN_FAILED_ENGINES = 2
 # A failure counts for this long.
 FAILURE_TTL_SECONDS = 2.0
+# A loss of contact that is younger than this may be a moment of silence.
+UNCONFIRMED_SECONDS = 0.5
 # In normal traffic another engine responds within this time of a failure.
 DOUBT_SECONDS = 0.15
 
@@ -47,6 +51,7 @@
     """The latest responses and failures of engines, from all calls of this VM.
 
     ``heard_at`` is when an engine last responded, a time of the monotonic clock.
+    ``count_engines`` returns how many engines there are.
 
     >>> from dotterelpitch.clock import ManualClock
     >>> clock = ManualClock(10.0)
@@ -61,6 +66,7 @@
     """
 
     _clock: Clock
+    _count_engines: Callable[[], int] = lambda: MIN_FAILED_ENGINES
     heard_at: float = float("-inf")
     _failure_by_engine: dict[str, _Failure] = field(factory=dict)
     _logged_state: ContactState = ContactState.IN_CONTACT
@@ -74,7 +80,7 @@
             for failure in self._failure_by_engine.values()
             if failure.at >= now - FAILURE_TTL_SECONDS
         ]
-        if len(recent) >= MIN_FAILED_ENGINES:
+        if recent and len(recent) >= min(MIN_FAILED_ENGINES, self._count_engines()):
             return ContactState.LOST
         if any(failure.at <= now - DOUBT_SECONDS for failure in recent):
             return ContactState.IN_DOUBT
@@ -85,6 +91,12 @@
         """Whether no engine seems to be reachable."""
         return self.state is ContactState.LOST
 
+    @property
+    def is_loss_confirmed(self) -> bool:
+        """Whether contact is lost, and not only just now."""
+        now = self._clock.monotonic()
+        return self.is_lost and now - self.heard_at >= UNCONFIRMED_SECONDS
+
     def record_response(self, opened_at: float) -> None:
         """Record a response on a connection that was opened at ``opened_at``.
 
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -204,6 +204,10 @@
             self._usable_by_service[service] = engines
         return engines
 
+    def usable_count(self) -> int:
+        """Return how many engines of all services accept new requests."""
+        return sum(not engine.is_leaving for engine in self.engine_by_id.values())
+
     def listed(self, service: str) -> list[Engine]:
         """Return all registered engines of ``service``, leaving ones included."""
         return [e for e in self.engine_by_id.values() if e.service == service]
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -99,6 +99,8 @@
     ENGINE_PAUSED = (426, logging.INFO, "an engine wants no requests for a while")
     ENGINES_UNREACHED = (428, logging.WARNING, "no engine seems to be reachable")
     ENGINES_REACHED = (429, logging.INFO, "engines are reachable again")
+    CALL_FORWARDED = (430, logging.INFO, "a call was forwarded to a peer")
+    CALL_DECLINED = (431, logging.INFO, "a call of a peer was declined")
     LIMIT_MOVED = (416, logging.INFO, "the limit on requests in flight has changed")
     REQUEST_ENDED = (501, logging.INFO, "a request has its final outcome")
     REQUEST_REFUSED = (503, logging.WARNING, "a request was rejected before it ran")
--- a/tests/harness/engine_cut_drill.py
+++ b/tests/harness/engine_cut_drill.py
@@ -1,7 +1,6 @@
 """Plays VMs that are cut off from all engines, while all else reaches them."""
 
 import asyncio
-import os
 import time
 from enum import StrEnum
 from pathlib import Path
@@ -21,6 +20,7 @@
     ProxiedConnection,
     reset_writer,
 )
+from tests.harness.socket_owner import find_owner
 from tests.harness.waiting import pause
 
 # Calls sent within this time after a cut began aren't covered by our own bar.
@@ -64,7 +64,7 @@
     gateways: int = 6
     engines: int = 3
     seconds: float = 11.0
-    calls_per_s: float = 30.0
+    calls_per_s: float = 40.0
     work_s: float = 0.1
     deadline_s: float = 4.0
     cut: Cut = Cut.SILENT
@@ -158,7 +158,11 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        source = _source_process(writer, self._name_by_pid)
+        source = find_owner(
+            writer.get_extra_info("peername"),
+            writer.get_extra_info("sockname"),
+            self._name_by_pid,
+        )
         if source in self.refused:
             reset_writer(writer)
             return
@@ -301,42 +305,3 @@
         await super()._stop()
         for proxy in self.proxies:
             await proxy.stop()
-
-
-def _source_process(writer: asyncio.StreamWriter, name_by_pid: dict[int, str]) -> str:
-    """Return the name of the process that has opened a loopback connection."""
-    host, port = writer.get_extra_info("peername")
-    local = writer.get_extra_info("sockname")
-    inode = _inode_of((host, port), local)
-    for pid, name in name_by_pid.items():
-        if inode and _has_socket(pid, inode):
-            return name
-    return ""
-
-
-def _inode_of(local: tuple[str, int], remote: tuple[str, int]) -> str:
-    wanted = f"{_hex_address(*local)} {_hex_address(*remote[:2])} "
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        if wanted in line:
-            return line.split()[9]
-    return ""
-
-
-def _hex_address(host: str, port: int) -> str:
-    number = int.from_bytes(bytes(map(int, host.split("."))), "little")
-    return f"{number:08X}:{port:04X}"
-
-
-def _has_socket(pid: int, inode: str) -> bool:
-    folder = f"/proc/{pid}/fd"
-    try:
-        names = os.listdir(folder)
-    except OSError:
-        return False
-    for name in names:
-        try:
-            if os.readlink(f"{folder}/{name}") == f"socket:[{inode}]":
-                return True
-        except OSError:
-            continue
-    return False
--- a/tests/test_engine_contact.py
+++ b/tests/test_engine_contact.py
@@ -68,6 +68,14 @@
     assert contact.state is expected
 
 
+# Guards against: a VM never finds itself cut off where there is a single engine.
+@pytest.mark.parametrize(("engines", "is_lost"), [(1, True), (2, False), (0, True)])
+def test_the_only_engine_suffices_to_lose_contact(engines, is_lost):
+    contact = EngineContact(ManualClock(NOW), lambda: engines)
+    contact.record_failure("e1", is_connecting=True)
+    assert contact.is_lost is is_lost
+
+
 # Guards against: a VM that is cut off and idle doesn't notice, or doesn't come back.
 @pytest.mark.parametrize(
     ("is_silent", "failed", "result", "asked", "is_lost"),
--- a/tests/test_engine_cut_drill.py
+++ b/tests/test_engine_cut_drill.py
@@ -8,7 +8,7 @@
     "2 of 6, nothing passes": EngineCutSettings(cut=Cut.SILENT),
     "4 of 6, new ones are reset": EngineCutSettings(cut=Cut.NEW_RESET, cut_vms=4),
     "3 of 9, all reset": EngineCutSettings(
-        cut=Cut.RESET, gateways=9, cut_vms=3, mesh_vms=3
+        cut=Cut.RESET, gateways=9, cut_vms=3, mesh_vms=3, calls_per_s=60.0
     ),
     "2 of 3, no response comes back": EngineCutSettings(
         cut=Cut.ONE_WAY, gateways=3, cut_vms=2
