--- a/tests/harness/engine_cut_drill.py
+++ b/tests/harness/engine_cut_drill.py
@@ -13,6 +13,7 @@
     response_head,
     write_stream,
 )
+from tests.harness.gateway_fleet import GatewayProcess
 from tests.harness.ports import free_address
 from tests.harness.proxy import (
     Direction,
@@ -73,6 +74,7 @@
     cut_s: float = 7.0
     cuts: int = 1
     stopped_vm: int | None = None
+    is_killed: bool = False
 
 
 @attrs.define
@@ -249,13 +251,19 @@
             self._cut_off()
             if settings.stopped_vm is not None:
                 await pause(settings.cut_s / 2)
-                await self.gateways[settings.stopped_vm].process.terminate()
+                await self._end(self.gateways[settings.stopped_vm])
                 await pause(settings.cut_s / 2)
             else:
                 await pause(settings.cut_s)
             self._reconnect()
             self._spans.append((since, time.monotonic()))
 
+    async def _end(self, gateway: GatewayProcess) -> None:
+        if self.settings.is_killed:
+            await gateway.process.kill()
+        else:
+            await gateway.process.terminate()
+
     def _cut_off(self) -> None:
         for proxy in self.proxies:
             for gateway in self._cut_gateways():
--- a/tests/test_engine_cut_drill.py
+++ b/tests/test_engine_cut_drill.py
@@ -16,6 +16,12 @@
     "the peer stops meanwhile": EngineCutSettings(
         cut=Cut.RESET, gateways=4, cut_vms=2, stopped_vm=3
     ),
+    "a peer is killed meanwhile": EngineCutSettings(
+        cut=Cut.RESET, gateways=5, cut_vms=2, stopped_vm=4, is_killed=True
+    ),
+    "cut off for a second, three times": EngineCutSettings(
+        cut=Cut.RESET, cut_s=1.8, cuts=3
+    ),
 }
 ALL_CUT_OFF = EngineCutSettings(cut=Cut.RESET, gateways=2, cut_vms=2, seconds=8.0)
 # First tries where VMs are cut off are served this often, compared with the others.
