Don't report crashes of engines from behind a cut

What callers saw: nothing directly.

Cause: a connection that is refused or reset looks the same whether the engine has ended or the path is cut.

Test: test_no_crash_is_seen_from_behind_a_cut, red without the change.

--- a/tests/test_crash_watcher.py
+++ b/tests/test_crash_watcher.py
@@ -230,3 +230,15 @@
     assert await check.run() is CheckResult.UNNEEDED
     assert engine.health_checks == 0
     await engine.stop()
+
+
+# Guards against: a VM that is cut off from all engines tells its peers that they have
+# crashed, and what was in flight there is banned.
+@pytest.mark.parametrize("is_cut_off", [False, True])
+async def test_no_crash_is_seen_from_behind_a_cut(is_cut_off):
+    vm = WatchedVm(CheckResult.REFUSED)
+    vm.tracker.is_cut_off = lambda: is_cut_off
+    vm.lose(ENGINE)
+    await vm.settle()
+    _, crashes, _ = vm.tracker.suspects.updates_after(0)
+    assert len(crashes) == (not is_cut_off)
