Refuse odd records of engines where they are read

What callers would see, as other operators have: after one record nested 200,000 deep, in whole or in one field, none of the VMs followed the list any more (json raises RecursionError, which isn't a ValueError); the same for a config. Found beside it: a start time beyond 64 bits, and a lone surrogate in service or version, passed the reader and broke each message to the peers.

Now a record is decoded in one place that knows both errors; numbers have a range, texts must be encodable, and port 0 is none. A refused value is shown shortened in the log.

--- a/dotterelpitch/platform/_fields.py
+++ b/dotterelpitch/platform/_fields.py
@@ -1,5 +1,7 @@
 """Reads fields of decoded JSON and checks their types."""
 
+import json
+import reprlib
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
@@ -9,9 +11,41 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 
+MAX_WHOLE_NUMBER = 2**63 - 1
+
 _REQUIRED: Any = object()
 
 
+def decode_json(value: bytes) -> Any:
+    """Return the content of a record.
+
+    Raises PlatformError when it isn't JSON, or is nested too deeply to be read.
+    """
+    try:
+        return json.loads(value)
+    except (ValueError, RecursionError) as error:
+        raise PlatformError(f"not valid JSON: {error}") from error
+
+
+def check_text(name: str, text: str) -> None:
+    """Raise PlatformError unless ``text`` can be sent to other processes."""
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise PlatformError(f"{name}: not valid text") from error
+
+
+def read_whole_number(table: Any, name: str, default: int) -> int:
+    """Return a field that holds a number of at most 63 bits, from 0.
+
+    Raises PlatformError as ``read_field`` does, and for any other number.
+    """
+    value = read_field(table, name, int, default)
+    if not 0 <= value <= MAX_WHOLE_NUMBER:
+        raise PlatformError(f"{name}: out of range")
+    return value
+
+
 def read_field(
     table: Any, name: str, expected: type[T] | tuple, default: Any = _REQUIRED
 ) -> T:
@@ -31,7 +65,8 @@
         return value
     is_unexpected_bool = isinstance(value, bool) and expected is not bool
     if is_unexpected_bool or not isinstance(value, expected):
-        raise PlatformError(f"{name}: {value!r} has the wrong type")
+        shown = reprlib.repr(value)
+        raise PlatformError(f"{name}: {shown} has the wrong type")
     return value
 
 
--- a/dotterelpitch/platform/cache_list.py
+++ b/dotterelpitch/platform/cache_list.py
@@ -1,9 +1,6 @@
 """Decodes the list of the prompt parts that an engine has in its cache."""
 
-import json
-
-from dotterelpitch.errors import PlatformError
-from dotterelpitch.platform._fields import read_field
+from dotterelpitch.platform._fields import decode_json, read_field
 
 CACHE_LIST_PATH = "/v1/kv-list"
 
@@ -19,10 +16,7 @@
     >>> sorted(decode_cache_list(b'{"held": [["", "5c1e07a2", 800, "m"]]}'))
     ['5c1e07a2']
     """
-    try:
-        entries = read_field(json.loads(body), "held", list)
-    except (ValueError, RecursionError) as error:
-        raise PlatformError(f"cache list: {error}") from error
+    entries = read_field(decode_json(body), "held", list)
     return frozenset(entry[_PART_FIELD] for entry in entries if _is_entry(entry))
 
 
--- a/dotterelpitch/platform/config_record.py
+++ b/dotterelpitch/platform/config_record.py
@@ -1,10 +1,8 @@
 """Decodes the store's config record: routes, services, accounts, and limits."""
 
-import json
 from typing import Any
 
-from dotterelpitch.errors import PlatformError
-from dotterelpitch.platform._fields import read_field, read_seconds
+from dotterelpitch.platform._fields import decode_json, read_field, read_seconds
 from dotterelpitch.routing.route_table import (
     DEFAULT_HEALTH_PATH,
     Account,
@@ -41,10 +39,7 @@
 
         Raises PlatformError when the value isn't a valid config.
         """
-        try:
-            content = json.loads(value)
-        except ValueError as error:
-            raise PlatformError(f"the config is not valid JSON: {error}") from error
+        content = decode_json(value)
         decoded = [self._decode(t) for t in read_field(content, "routes", list)]
         config = RoutingConfig(
             version=read_field(content, "version", int),
--- a/dotterelpitch/platform/engine_record.py
+++ b/dotterelpitch/platform/engine_record.py
@@ -1,15 +1,20 @@
 """Decodes the records by which engines register themselves in the store."""
 
-import json
 from typing import Any
 
 from dotterelpitch.errors import PlatformError
-from dotterelpitch.platform._fields import read_field
+from dotterelpitch.platform._fields import (
+    check_text,
+    decode_json,
+    read_field,
+    read_whole_number,
+)
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.settings import check_address
 
 ENGINE_PREFIX = "servers/"
 
+_TEXT_FIELDS = ("id", "service", "failure_domain", "version")
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -20,24 +25,29 @@
     Raises PlatformError when it is invalid.
     """
     try:
-        return _decode(key.removeprefix(ENGINE_PREFIX), json.loads(value))
-    except ValueError as error:
-        raise PlatformError(f"{key}: {error}") from error
+        return _decode(key.removeprefix(ENGINE_PREFIX), decode_json(value))
+    except (PlatformError, ValueError) as error:
+        raise PlatformError(f"{key!a}: {error}") from error
 
 
 def _decode(engine_id: str, content: Any) -> Engine:
     address = read_field(content, "address", str)
     check_address(address)
+    if int(address.rpartition(":")[2]) == 0:
+        raise PlatformError("address: no port")
     state = read_field(content, "state", str)
     if state not in _IS_LEAVING_BY_STATE:
         raise PlatformError(f"state: unknown value {state!r}")
-    return Engine(
+    engine = Engine(
         id=engine_id,
         service=read_field(content, "service", str),
         address=address,
         failure_domain=read_field(content, "zone", str, ""),
-        slots=read_field(content, "capacity", int, 0),
+        slots=read_whole_number(content, "capacity", 0),
         is_leaving=_IS_LEAVING_BY_STATE[state],
-        started_ms=read_field(content, "born", int, 0),
+        started_ms=read_whole_number(content, "born", 0),
         version=read_field(content, "version", str, ""),
     )
+    for name in _TEXT_FIELDS:
+        check_text(name, getattr(engine, name))
+    return engine
