Test that a second copy of a refusal is never the response to the next request

The report of other operators: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told that a request hadn't run which had. It can't happen here: a response counts only with the id of the request in flight, and bytes without a request close the connection. Tests by name for all places: before the next request is written, in the segment of the last response, before and while the next request's body is on its way, with the earlier id and without any; they pass on the code as it was.

--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -18,6 +18,11 @@
 OK = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s1\r\n"
 COMPLETE = OK + b"Content-Length: 2\r\n\r\nhi"
 STALE = b"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold"
+STALE_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r0\r\nNot-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+REFUSAL_WITHOUT_ID = STALE_REFUSAL.replace(b"Request-Id: r0\r\n", b"")
 WITHOUT_ID = b"HTTP/1.1 200 OK\r\nResponse-Seal: s0\r\nContent-Length: 1\r\n\r\nx"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n"
 UNFRAMED = OK + b"\r\nhi"
@@ -82,6 +87,10 @@
         ([STALE + COMPLETE], False),
         ([STALE[:40], STALE[40:] + COMPLETE], False),
         ([WITHOUT_ID + COMPLETE], False),
+        ([STALE_REFUSAL + COMPLETE], False),
+        ([STALE_REFUSAL, COMPLETE], False),
+        ([REFUSAL_WITHOUT_ID + COMPLETE], False),
+        ([COMPLETE + STALE_REFUSAL], False),
         ([COMPLETE + b"garbage"], False),
         ([OK + b"Connection: close\r\nContent-Length: 2\r\n\r\nhi"], False),
         ([CHUNKED + b"0\r\nRequest-Id: r0\r\n\r\n"], True),
@@ -130,17 +139,40 @@
         await read_all(connection)
 
 
-async def test_unsolicited_data_closes_an_idle_connection():
+# Guards against: a second copy of an earlier response, such as a rejection, is taken
+# for that to the next request.
+@pytest.mark.parametrize("unsolicited", [STALE, STALE_REFUSAL, REFUSAL_WITHOUT_ID])
+async def test_unsolicited_data_closes_an_idle_connection(unsolicited):
     connection, transport = connection_with_sent_request()
     connection.data_received(COMPLETE)
     await read_all(connection)
     connection.finish(0.0)
     assert connection.is_reusable
-    connection.data_received(STALE)
+    connection.data_received(unsolicited)
     assert not connection.is_reusable
     assert transport.closed
 
 
+# Guards against: the same while the next request is on its way.
+@pytest.mark.parametrize("stale", [STALE, STALE_REFUSAL, REFUSAL_WITHOUT_ID])
+@pytest.mark.parametrize("is_followed", [True, False])
+async def test_second_copy_is_no_response_to_the_next_request(stale, is_followed):
+    connection, _ = connection_with_sent_request()
+    connection.data_received(COMPLETE)
+    await read_all(connection)
+    connection.finish(0.0)
+    connection.send(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\npart", "r2")
+    connection.data_received(stale)
+    if is_followed:
+        connection.data_received(COMPLETE.replace(b"r1", b"r2"))
+        head, body = await read_all(connection)
+        assert (head.value_by_name["request-id"], body) == ("r2", b"hi")
+    else:
+        connection.connection_lost(None)
+        with pytest.raises(AnswerLostError):
+            await connection.read_head()
+
+
 @pytest.mark.parametrize(("received", "unsent"), [(COMPLETE[:-1], 0), (COMPLETE, 10)])
 async def test_unfinished_exchange_aborts_the_connection(received, unsent):
     """On a reused connection, the rest of the body could be read as a response.
