Don't write an engine's error into the middle of a stream

What callers would see, as other operators have: a resumable stream had begun and broke off; the next engine answered with another status than 200 and without Not-Executed (302, 404, 410, 206), and its head and body were written into the caller's stream, whose end then never came.

Cause: such a response counts as the answer to the call and was passed on as a whole, whether or not the caller already had the head of another. Now it is a failed attempt; another engine may be tried, or the stream is broken off.

Test: five new rows of test_stream_is_complete_or_visibly_truncated, red before (the caller waited until the test's time was up); two more, with 500 and a rejection, passed before.

--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -179,6 +179,12 @@
         observer.head_received(
             response_class, decode_engine_status(head.status, head.headers)
         )
+        is_stream = call.route.kind is CallKind.STREAM and head.status == 200
+        if writer.is_started and not is_stream:
+            return AttemptResult(
+                _OUTCOME_BY_RESPONSE_CLASS.get(response_class, AttemptOutcome.FAILED),
+                f"status {head.status} in the middle of a stream",
+            )
         if response_class is not ResponseClass.ANSWERED:
             body = await self._responses.read_buffered(connection, limits)
             if len(body) >= MAX_BUFFERED_BYTES:
@@ -196,7 +202,7 @@
                 else None,
             )
         pause_s = None
-        if call.route.kind is CallKind.STREAM and head.status == 200:
+        if is_stream:
             pause_s = await self._responses.forward_events(
                 connection, head, limits, writer, events, observer
             )
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -69,6 +69,22 @@
     exchange.writer.write(b"oops")
 
 
+def answer_with(status, *lines):
+    """Return a behavior that answers with a status and a body."""
+
+    async def behavior(exchange):
+        exchange.write_head(status, "Content-Length: 8", *lines)
+        exchange.writer.write(b"oh dear!")
+
+    return behavior
+
+
+async def end_without_length(exchange):
+    exchange.write_head("404 Not Found")
+    exchange.writer.write(b"oh dear!")
+    exchange.writer.close()
+
+
 async def reject(exchange):
     exchange.write_head(
         "503 Service Unavailable", "Not-Executed: 1", "Content-Length: 0"
@@ -186,6 +202,8 @@
         assert head.count(b"Response-Seal: s") == 1
 
 
+# Guards against: a stream that was cut looks complete, or the error with which the next
+# engine answers stands in the middle of it.
 @pytest.mark.parametrize(
     ("route", "scripts", "events", "is_complete"),
     [
@@ -195,6 +213,12 @@
         ("resumable", [stream(5, 2, cut_inside=True), stream(5)], 5, True),
         ("resumable", [stream(5, cut_after=2), stream(5, cut_after=4)], 4, False),
         ("resumable", [stream(5, cut_after=2), fail], 2, False),
+        ("resumable", [stream(5, cut_after=2), reject], 2, False),
+        ("resumable", [stream(5, cut_after=2), answer_with("404 Not Found")], 2, False),
+        ("resumable", [stream(5, cut_after=2), answer_with("410 Gone")], 2, False),
+        ("resumable", [stream(5, cut_after=2), answer_with("302 Found")], 2, False),
+        ("resumable", [stream(5, cut_after=2), answer_with("206 Part")], 2, False),
+        ("resumable", [stream(5, cut_after=2), end_without_length], 2, False),
     ],
 )
 async def test_stream_is_complete_or_visibly_truncated(
