Let the soak cut VMs off from engines, and restore the store from a copy

Two faults more: one to three gateways are cut off from all engines (nothing passes, all is reset, or only new connections are), and the store comes back from a copy while config and engines are written again. Proxies in front of engines tell gateways apart by asking the kernel whose socket it is.

--- a/tests/harness/engine_cut_drill.py
+++ b/tests/harness/engine_cut_drill.py
@@ -15,13 +15,8 @@
 )
 from tests.harness.gateway_fleet import GatewayProcess
 from tests.harness.ports import free_address
-from tests.harness.proxy import (
-    Direction,
-    FaultProxy,
-    ProxiedConnection,
-    reset_writer,
-)
-from tests.harness.socket_owner import find_owner
+from tests.harness.proxy import Direction
+from tests.harness.source_proxy import SourceProxy
 from tests.harness.waiting import pause
 
 # Calls sent within this time after a cut began aren't covered by our own bar.
@@ -146,37 +141,6 @@
         )
 
 
-class SourceProxy(FaultProxy):
-    """A proxy that knows which gateway a connection comes from.
-
-    ``refused`` are the gateways whose new connections are reset.
-    """
-
-    def __init__(self, target: str, processes: dict[int, str]) -> None:
-        super().__init__(target)
-        self.refused: set[str] = set()
-        self._name_by_pid = processes
-
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        source = find_owner(
-            writer.get_extra_info("peername"),
-            writer.get_extra_info("sockname"),
-            self._name_by_pid,
-        )
-        if source in self.refused:
-            reset_writer(writer)
-            return
-        connection = ProxiedConnection(self, reader, writer)
-        connection.source = source
-        self.connections.add(connection)
-        try:
-            await connection.run()
-        finally:
-            self.connections.discard(connection)
-
-
 class MixedEngine(CrashableEngine):
     """An engine that streams on chat routes and responds at once on others."""
 
@@ -225,7 +189,7 @@
         return {**record, "address": self._proxy_by_engine[engine.id].address}
 
     def _register(self, engine: CrashableEngine) -> None:
-        proxy = SourceProxy(engine.address, self._name_by_pid)
+        proxy = SourceProxy(engine.address, lambda: self._name_by_pid)
         proxy.address = free_address()
         self.proxies.append(proxy)
         self._proxy_by_engine[engine.id] = proxy
--- a/tests/harness/gateway_soak/engine.py
+++ b/tests/harness/gateway_soak/engine.py
@@ -13,8 +13,8 @@
     NoticeGiven,
     Run,
 )
-from tests.harness.proxy import FaultProxy
 from tests.harness.scripted_engine import EngineExchange, ScriptedEngine
+from tests.harness.source_proxy import SourceProxy
 
 EVENT_SECONDS = 0.03
 WORK_SECONDS = (0.002, 0.03)
@@ -87,17 +87,17 @@
         self.paused_until = 0.0
         self._cached_parts: set[str] = set()
         self._server = ScriptedEngine(engine_id, self._handle)
-        self.proxy: FaultProxy | None = None
+        self.proxy: SourceProxy | None = None
 
-    async def start(self, address: str, proxy: FaultProxy | None = None) -> None:
-        """Listen on ``address``, behind ``proxy`` or a new one.
+    async def start(self, address: str, proxy: SourceProxy) -> None:
+        """Listen on ``address``, behind ``proxy``.
 
         With the proxy of a stopped engine, this engine takes over its address.
         """
         await self._server.start(address)
-        self.proxy = proxy or FaultProxy(address, self.id)
+        self.proxy = proxy
         self.proxy.target = address
-        if proxy is None:
+        if not proxy.address:
             await self.proxy.start()
 
     async def stop(self) -> None:
--- a/tests/harness/gateway_soak/faults.py
+++ b/tests/harness/gateway_soak/faults.py
@@ -71,6 +71,8 @@
             self.change_config,
             self.change_configs_quickly,
             self.surge,
+            self.cut_vms_from_engines,
+            self.restore_store,
         ]
 
     async def kill_vm(self, seconds: float) -> None:
@@ -166,6 +168,40 @@
         for span in spans:
             span.ended = self._now()
 
+    async def cut_vms_from_engines(self, seconds: float) -> None:
+        """Cut one to three gateways off from all engines, in one of three ways."""
+        count = self._random.randint(1, min(3, len(self._fleet.vms) - 1))
+        names = [vm.name for vm in self._random.sample(self._fleet.vms, count)]
+        way = self._random.choice(("silent", "reset", "new ones reset"))
+        span = self._fleet.history.begin_fault("cut_vms_from_engines", ENGINES)
+        proxies = [engine.proxy for engine in self._fleet.engine_by_id.values()]
+        for proxy in proxies:
+            for name in names:
+                if way == "silent":
+                    proxy.drop(name)
+                if way == "reset":
+                    proxy.reset(name)
+            if way != "silent":
+                proxy.refused.update(names)
+        await pause(seconds)
+        for proxy in proxies:
+            proxy.refused.difference_update(names)
+            for name in names:
+                proxy.heal(name)
+        span.ended = self._now()
+
+    async def restore_store(self, seconds: float) -> None:
+        """Let the store come back from a copy; the engines register again."""
+        copy = self._fleet.store.copy()
+        await pause(seconds / 2)
+        span = self._fleet.history.begin_fault("restore_store", STORE)
+        self._fleet.store.status = 503
+        await pause(min(1.0, seconds / 2))
+        self._fleet.store.restore(copy)
+        self._fleet.store.status = 200
+        self._fleet.write_records_again()
+        span.ended = self._now()
+
     async def store_refuses(self, seconds: float) -> None:
         """Make the store answer every request with 503."""
         span = self._fleet.history.begin_fault("store_refuses", STORE)
--- a/tests/harness/gateway_soak/fleet.py
+++ b/tests/harness/gateway_soak/fleet.py
@@ -21,6 +21,7 @@
 from tests.harness.platform_store import PlatformStore
 from tests.harness.ports import free_address
 from tests.harness.proxy import FaultProxy
+from tests.harness.source_proxy import SourceProxy
 from tests.harness.waiting import pause
 
 DOMAINS = "abc"
@@ -97,6 +98,8 @@
         self._folder = folder
         self._version = 0
         self._engine_count = 0
+        self._config: dict = {}
+        self._state_by_engine: dict[str, str] = {}
         self._balancer: asyncio.Task | None = None
         self._crash_tasks: set[asyncio.Task] = set()
 
@@ -141,6 +144,7 @@
         content["services"] = [
             {"name": name, "max_conns": 200} for name in ("calls", "chats")
         ]
+        self._config = content
         self.store.put("op/config", content)
         self.history.configs.append(
             ConfigVersion(
@@ -159,19 +163,34 @@
         engine = SoakEngine(
             f"e{self._engine_count}", service, domain, self.history, self._crash_engine
         )
-        await engine.start(free_address(), proxy)
+        address = free_address()
+        new_proxy = proxy or SourceProxy(address, self._name_by_pid, engine.id)
+        await engine.start(address, new_proxy)
         if proxy is not None:
             proxy.accept_again()
         self.engine_by_id[engine.id] = engine
         self.register_engine(engine)
         return engine
 
+    def _name_by_pid(self) -> dict[int, str]:
+        """Return the names of the VMs by the process ids of their gateways."""
+        processes = (vm.gateway.process for vm in self.vms)
+        return {p.pid: p.name for p in processes if p.running}
+
     def register_engine(self, engine: SoakEngine, state: str = "ready") -> None:
         """Write an engine's record to the store."""
+        self._state_by_engine[engine.id] = state
         self.store.put(f"servers/{engine.id}", engine.store_record(state))
 
+    def write_records_again(self) -> None:
+        """Write the config and the engines again, after the store has lost them."""
+        self.store.put("op/config", self._config)
+        for engine_id, state in list(self._state_by_engine.items()):
+            self.register_engine(self.engine_by_id[engine_id], state)
+
     def deregister_engine(self, engine: SoakEngine) -> None:
         """Delete an engine's record from the store."""
+        self._state_by_engine.pop(engine.id, None)
         self.store.delete(f"servers/{engine.id}")
 
     async def restart(self, vm: SoakVm) -> None:
