--- a/dotterelpitch/gateway/peer_call_server.py
+++ b/dotterelpitch/gateway/peer_call_server.py
@@ -74,17 +74,15 @@
     def _reason_to_decline(self, request: ForwardCall) -> str:
         """Return why a call isn't taken, or an empty string."""
         config = self._state.config
-        if self.is_stopping:
-            return "the gateway is stopping"
-        if self._contact.is_loss_confirmed:
-            return "the gateway reaches no engine either"
-        if self._count >= MAX_CALLS:
-            return "too many calls of peers are in progress"
-        if config is None or config.version < request.config_version:
-            return "the gateway has an older config"
-        if _find_route(config, request) is None:
-            return "the config in force doesn't allow the call"
-        return ""
+        is_older = config is None or config.version < request.config_version
+        rules = (
+            (self.is_stopping, "the gateway is stopping"),
+            (self._contact.is_loss_confirmed, "the gateway reaches no engine either"),
+            (self._count >= MAX_CALLS, "too many calls of peers are in progress"),
+            (is_older, "the gateway has an older config"),
+            (not _allows(config, request), "the config in force forbids the call"),
+        )
+        return next((reason for applies, reason in rules if applies), "")
 
     async def _decline(self, stream: Stream, request: ForwardCall, reason: str) -> None:
         log_event(Event.CALL_DECLINED, peer=stream.connection.peer.vm, reason=reason)
@@ -131,16 +129,19 @@
         )
 
 
-def _find_route(config: RoutingConfig, request: ForwardCall) -> Route | None:
-    """Return the route of a call if the config allows it, else None."""
-    target = decode_text(request.target)
-    route = config.find_route(decode_text(request.host), target.partition("?")[0])
+def _allows(config: RoutingConfig | None, request: ForwardCall) -> bool:
+    """Return whether the config has the route, the service, and the account."""
+    route = _find_route(config, request) if config else None
     if route is None or request.service not in {s.service for s in route.services}:
-        return None
-    if request.account and _find_account(config, request.account) is None:
-        return None
-    needs_account = config.needs_key and not route.is_public
-    return None if needs_account and not request.account else route
+        return False
+    if request.account:
+        return _find_account(config, request.account) is not None
+    return route.is_public or not config.needs_key
+
+
+def _find_route(config: RoutingConfig, request: ForwardCall) -> Route | None:
+    path = decode_text(request.target).partition("?")[0]
+    return config.find_route(decode_text(request.host), path)
 
 
 def _find_account(config: RoutingConfig, name: str) -> Account | None:
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -134,10 +134,10 @@
     def update(self, engine_id: str) -> None:
         """Apply what has become known of whether an engine leaves."""
         if engine_id in self.engine_by_id:
-            is_missing_since = self._missing_since_by_id.get(engine_id)
+            missing_since = self._missing_since_by_id.get(engine_id)
             self.put(self._registered_by_id[engine_id])
-            if is_missing_since is not None:
-                self._missing_since_by_id[engine_id] = is_missing_since
+            if missing_since is not None:
+                self._missing_since_by_id[engine_id] = missing_since
 
     def remove(self, engine_id: str) -> None:
         """Remove an engine whose entry was deleted from the registry.
--- a/tests/test_engine_contact.py
+++ b/tests/test_engine_contact.py
@@ -23,8 +23,8 @@
 NOW = 100.0
 
 
-class NoSilentEngines:
-    """A crash detector for which no engine is silent, or one is."""
+class CrashDetectorStub:
+    """A crash detector for which some engines are silent, or none."""
 
     def __init__(self, silent=()):
         self.silent = silent
@@ -108,7 +108,7 @@
         clock,
         state,
         contact,
-        NoSilentEngines(engines[:1] if is_silent else ()),
+        CrashDetectorStub(engines[:1] if is_silent else ()),
         lambda: changes.append(contact.is_lost),
         run_check,
     )
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -1,7 +1,5 @@
 """Config and engine directory of a gateway, for valid and invalid store records."""
 
-import json
-
 import pytest
 
 from dotterelpitch.clock import ManualClock
@@ -10,25 +8,7 @@
 from dotterelpitch.platform.store import StoreRecord, StoreResponse
 from dotterelpitch.routing.engines import REREGISTRATION_SECONDS
 from dotterelpitch.telemetry.events import Event, observe_events
-
-
-def engine_record(engine_id, **changes):
-    content = {
-        "service": "chat",
-        "address": "127.0.0.1:9",
-        "zone": "a",
-        "capacity": 4,
-        "state": "ready",
-        "call_seq": 1,
-        "born": 1,
-        **changes,
-    }
-    return StoreRecord(f"servers/{engine_id}", json.dumps(content).encode())
-
-
-def config_record(version):
-    content = {"version": version, "routes": [], "services": [], "tenants": []}
-    return StoreRecord(CONFIG_KEY, json.dumps(content).encode())
+from tests.harness.store_records import config_record, engine_record
 
 
 @pytest.fixture
--- a/tests/test_record_exchange.py
+++ b/tests/test_record_exchange.py
@@ -1,33 +1,15 @@
 """Record batches between gateways: newer records are sent, removed engines aren't."""
 
-import json
-
 import pytest
 
 from dotterelpitch.clock import ManualClock
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.state import GatewayState
-from dotterelpitch.platform.config_record import CONFIG_KEY
 from dotterelpitch.platform.store import StoreRecord, StoreResponse
 from dotterelpitch.protocol.gateway_messages import FetchRecords
 from dotterelpitch.routing.engines import REREGISTRATION_SECONDS
-
-
-def engine_record(engine_id):
-    content = {
-        "service": "chat",
-        "address": "127.0.0.1:9",
-        "zone": "a",
-        "state": "ready",
-        "born": 1,
-    }
-    return StoreRecord(f"servers/{engine_id}", json.dumps(content).encode())
-
-
-def config_record(version):
-    content = {"version": version, "routes": []}
-    return StoreRecord(CONFIG_KEY, json.dumps(content).encode())
+from tests.harness.store_records import config_record, engine_record
 
 
 class GatewayStub:
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -1,7 +1,5 @@
 """A store that is back from an older copy: what a gateway believes, and its peers."""
 
-import json
-
 import pytest
 
 from dotterelpitch.clock import ManualClock
@@ -10,7 +8,6 @@
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.state import GatewayState
-from dotterelpitch.platform.config_record import CONFIG_KEY
 from dotterelpitch.platform.store import StorePosition, StoreRecord, StoreResponse
 from dotterelpitch.protocol.gateway_messages import (
     LINK_VERSION,
@@ -24,23 +21,7 @@
 )
 from dotterelpitch.routing.engines import REREGISTRATION_SECONDS
 from tests.harness.simulated_gateways import make_fleet
-
-
-def engine_record(engine_id, **changes):
-    content = {
-        "service": "chat",
-        "address": "127.0.0.1:9",
-        "zone": "a",
-        "state": "ready",
-        "born": 1,
-        **changes,
-    }
-    return StoreRecord(f"servers/{engine_id}", json.dumps(content).encode())
-
-
-def config_record(version):
-    content = {"version": version, "routes": []}
-    return StoreRecord(CONFIG_KEY, json.dumps(content).encode())
+from tests.harness.store_records import config_record, engine_record
 
 
 def removal(engine_id):
