--- a/tests/harness/store_records.py
+++ b/tests/harness/store_records.py
@@ -7,6 +7,11 @@
 from dotterelpitch.platform.store import StoreRecord
 
 
+def json_record(key: str, content: Any) -> StoreRecord:
+    """Return the record of a key with content that is encoded as JSON."""
+    return StoreRecord(key, json.dumps(content).encode())
+
+
 def engine_record(engine_id: str, **changes: Any) -> StoreRecord:
     """Return the record of an engine, with some fields replaced."""
     content = {
@@ -19,10 +24,10 @@
         "born": 1,
         **changes,
     }
-    return StoreRecord(f"servers/{engine_id}", json.dumps(content).encode())
+    return json_record(f"servers/{engine_id}", content)
 
 
 def config_record(version: int) -> StoreRecord:
     """Return the record of a config without routes."""
     content = {"version": version, "routes": [], "services": [], "tenants": []}
-    return StoreRecord(CONFIG_KEY, json.dumps(content).encode())
+    return json_record(CONFIG_KEY, content)
