Don't take a failure domain that is cut off for a VM that reaches no engine

Cause, by reading: while a failure domain is cut off, connections to engines of others fail, and those nearby respond on connections that were opened before. That counted as lost contact: calls were forwarded to peers behind the cut. Now contact isn't lost before an engine of the VM's own failure domain has failed, if there is one, and one of the two engines that are asked is such a one.

Test: test_contact_is_not_lost_before_a_near_engine_has_failed, red without it.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -110,13 +110,19 @@
         self.leaving_engine_checker = LeavingEngineChecker(
             self._clock, self.state, status_recorder.record_check
         )
-        self.contact = EngineContact(self._clock, self.state.directory.usable_count)
+        directory = self.state.directory
+        self.contact = EngineContact(
+            self._clock,
+            directory.usable_count,
+            partial(directory.usable_ids_in, vm.failure_domain),
+        )
         self.contact_watcher = EngineContactWatcher(
             self._clock,
             self.state,
             self.contact,
             engine_tracker.crash_detector,
             self.state.notify_peers,
+            vm.failure_domain,
         )
         self._identity = Identity.create(vm.vm_name, "gateway", settings.cluster_key)
         self._fleet = PeerDirectory(self._clock, self._own_fleet_vm())
--- a/dotterelpitch/gateway/engine_contact_watcher.py
+++ b/dotterelpitch/gateway/engine_contact_watcher.py
@@ -29,7 +29,8 @@
 class EngineContactWatcher:
     """Asks two engines for a sign of life while contact is in doubt or lost.
 
-    ``on_change`` is called when contact is lost or back.
+    ``on_change`` is called when contact is lost or back. One of the two is in the VM's
+    own ``failure_domain``, if there is any.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         contact: EngineContact,
         crash_detector: CrashDetector,
         on_change: Callable[[], None],
+        failure_domain: str = "",
         run_check: RunCheck = EngineCheck.run,
     ) -> None:
         self._clock = clock
@@ -46,6 +48,7 @@
         self._contact = contact
         self._crash_detector = crash_detector
         self._on_change = on_change
+        self._failure_domain = failure_domain
         self._run_check = run_check
         self._asked_at = float("-inf")
         self._was_lost = False
@@ -79,13 +82,16 @@
         return bool(self._crash_detector.silent_engines())
 
     def _sample(self) -> list[Engine]:
-        """Return some engines at random, none that leaves."""
+        """Return some engines at random, none that leaves, a near one first."""
         engines = [
             engine
             for engine in self._state.directory.engine_by_id.values()
             if not engine.is_leaving
         ]
-        return random.sample(engines, min(ENGINES_ASKED, len(engines)))
+        random.shuffle(engines)
+        near = [e for e in engines if e.failure_domain == self._failure_domain][:1]
+        others = [engine for engine in engines if engine not in near]
+        return (near + others)[:ENGINES_ASKED]
 
     async def _check(self, engine: Engine) -> None:
         began = self._clock.monotonic()
--- a/dotterelpitch/routing/engine_contact.py
+++ b/dotterelpitch/routing/engine_contact.py
@@ -5,7 +5,7 @@
 meanwhile, it is likely the path, and if peers still reach engines at that time, it is.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import StrEnum
 
 from attrs import define, field, frozen
@@ -51,7 +51,9 @@
     """The latest responses and failures of engines, from all calls of this VM.
 
     ``heard_at`` is when an engine last responded, a time of the monotonic clock.
-    ``count_engines`` returns how many engines there are.
+    ``count_engines`` returns how many engines there are. ``near_ids`` returns those in
+    the VM's own failure domain: a partition separates it from them last, so contact
+    isn't lost before one of them has failed, if there are any.
 
     >>> from dotterelpitch.clock import ManualClock
     >>> clock = ManualClock(10.0)
@@ -67,6 +69,7 @@
 
     _clock: Clock
     _count_engines: Callable[[], int] = lambda: MIN_FAILED_ENGINES
+    _near_ids: Callable[[], Collection[str]] = tuple
     heard_at: float = float("-inf")
     _failure_by_engine: dict[str, _Failure] = field(factory=dict)
     _logged_state: ContactState = ContactState.IN_CONTACT
@@ -75,14 +78,14 @@
     def state(self) -> ContactState:
         """What is believed now."""
         now = self._clock.monotonic()
-        recent = [
-            failure
-            for failure in self._failure_by_engine.values()
+        recent = {
+            engine_id: failure
+            for engine_id, failure in self._failure_by_engine.items()
             if failure.at >= now - FAILURE_TTL_SECONDS
-        ]
-        if recent and len(recent) >= min(MIN_FAILED_ENGINES, self._count_engines()):
+        }
+        if recent and self._are_enough(recent.keys()):
             return ContactState.LOST
-        if any(failure.at <= now - DOUBT_SECONDS for failure in recent):
+        if any(failure.at <= now - DOUBT_SECONDS for failure in recent.values()):
             return ContactState.IN_DOUBT
         return ContactState.IN_CONTACT
 
@@ -97,6 +100,13 @@
         now = self._clock.monotonic()
         return self.is_lost and now - self.heard_at >= UNCONFIRMED_SECONDS
 
+    def _are_enough(self, failed_ids: Collection[str]) -> bool:
+        """Return whether contact is lost if these engines have failed."""
+        if len(failed_ids) < min(MIN_FAILED_ENGINES, self._count_engines()):
+            return False
+        near_ids = self._near_ids()
+        return not near_ids or any(i in failed_ids for i in near_ids)
+
     def record_response(self, opened_at: float) -> None:
         """Record a response on a connection that was opened at ``opened_at``.
 
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -208,6 +208,14 @@
         """Return how many engines of all services accept new requests."""
         return sum(not engine.is_leaving for engine in self.engine_by_id.values())
 
+    def usable_ids_in(self, failure_domain: str) -> list[str]:
+        """Return the engines of a failure domain that accept new requests."""
+        return [
+            engine.id
+            for engine in self.engine_by_id.values()
+            if engine.failure_domain == failure_domain and not engine.is_leaving
+        ]
+
     def listed(self, service: str) -> list[Engine]:
         """Return all registered engines of ``service``, leaving ones included."""
         return [e for e in self.engine_by_id.values() if e.service == service]
--- a/tests/test_engine_contact.py
+++ b/tests/test_engine_contact.py
@@ -68,6 +68,20 @@
     assert contact.state is expected
 
 
+# Guards against: a failure domain that is cut off from the others is taken for VMs that
+# are cut off from all engines, while those nearby respond on open connections.
+@pytest.mark.parametrize(
+    ("failed", "is_lost"),
+    [(("far1", "far2"), False), (("far1", "near1"), True), (("near1", "near2"), True)],
+)
+def test_contact_is_not_lost_before_a_near_engine_has_failed(failed, is_lost):
+    contact = EngineContact(ManualClock(NOW), lambda: 4, lambda: ["near1", "near2"])
+    for engine_id in failed:
+        contact.record_failure(engine_id, is_connecting=True)
+    contact.record_response(opened_at=NOW - 1.0)
+    assert contact.is_lost is is_lost
+
+
 # Guards against: a VM never finds itself cut off where there is a single engine.
 @pytest.mark.parametrize(("engines", "is_lost"), [(1, True), (2, False), (0, True)])
 def test_the_only_engine_suffices_to_lose_contact(engines, is_lost):
@@ -110,7 +124,7 @@
         contact,
         CrashDetectorStub(engines[:1] if is_silent else ()),
         lambda: changes.append(contact.is_lost),
-        run_check,
+        run_check=run_check,
     )
     for engine_id in failed:
         contact.record_failure(engine_id, is_connecting=True)
