Ask a peer that has declined last, not never, while others are left

Suspected cause: a peer that wasn't connected to within 0.3 s, as in a starved process, was left out for a second, and with all left out the call was tried from behind the cut. Now such a peer is only asked after the others.

--- a/dotterelpitch/gateway/peer_forwarder.py
+++ b/dotterelpitch/gateway/peer_forwarder.py
@@ -40,7 +40,7 @@
 
 # A peer that can't be connected to within this time is left out.
 CONNECT_TIMEOUT_SECONDS = 0.3
-# A peer that has declined a call, or couldn't be reached, is asked again after this.
+# A peer that has declined a call, or couldn't be reached, is asked last for this long.
 DECLINED_SECONDS = 1.0
 # A call is offered to this many peers.
 MAX_PEERS_ASKED = 3
@@ -78,13 +78,7 @@
             return None
         if len(progress.asked_vms) >= MAX_PEERS_ASKED:
             return None
-        now = self._clock.monotonic()
-        vms = [
-            vm
-            for vm in self._candidates()
-            if vm.name not in progress.asked_vms
-            and self._declined_until_by_vm.get(vm.name, now) <= now
-        ]
+        vms = [vm for vm in self._candidates() if vm.name not in progress.asked_vms]
         return min(vms, key=self._rank, default=None)
 
     async def run(
@@ -134,8 +128,11 @@
             if link.peer_reaches_engines is False and link.peer_said_at >= oldest
         ]
 
-    def _rank(self, vm: FleetVm) -> tuple[int, float]:
-        return self._in_flight_by_vm[vm.name], random.random()
+    def _rank(self, vm: FleetVm) -> tuple[bool, int, float]:
+        """Return what peers are chosen by, the least first."""
+        now = self._clock.monotonic()
+        has_declined = self._declined_until_by_vm.get(vm.name, now) > now
+        return has_declined, self._in_flight_by_vm[vm.name], random.random()
 
     async def _run(
         self, vm: FleetVm, call: Call, progress: CallProgress, writer: ResponseWriter
