--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -138,7 +138,6 @@
             self.rate_limits.registry,
             self.contact,
         )
-        engine_tracker.is_cut_off = self._is_cut_off
         forwarder = self._create_forwarder(status_recorder)
         body_memory = BodyMemory.for_vm(vm.memory_mb)
         self.ingress = Ingress(self._clock, self.state, forwarder, body_memory)
@@ -330,10 +329,6 @@
         except TimeoutError:
             log_event(Event.STOP_CUT, requests=self.ingress.work.names())
 
-    def _is_cut_off(self) -> bool:
-        """Return whether peers reach engines and this gateway doesn't."""
-        return self.contact.is_lost and self.links.any_peer_reaches_engines()
-
     def _is_ready(self) -> bool:
         return self.state.config is not None and not self._stop.is_set()
 
--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -1,7 +1,5 @@
 """Tracks the health of engines from the outcomes of attempts."""
 
-from collections.abc import Callable
-
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.call import Call
@@ -42,19 +40,10 @@
 }
 
 
-def _never() -> bool:
-    """Return False: engines are reachable from here."""
-    return False
-
-
 class EngineTracker:
-    """Health, error rates, reachability, crashes, and cached prompts of engines.
-
-    ``is_cut_off`` returns whether no engine is reachable from here but from peers.
-    """
+    """Health, error rates, reachability, crashes, and cached prompts of engines."""
 
     def __init__(self, clock: Clock, vm: str, failure_domain: str) -> None:
-        self.is_cut_off: Callable[[], bool] = _never
         self.health = EngineHealth(clock, HEALTH_POLICY)
         self.error_rates = ErrorRates(clock)
         self.domain_reachability = DomainReachability(clock, failure_domain)
@@ -150,13 +139,6 @@
         self._log_if_suspect(engine, result.reason)
 
     def _record_crash(self, engine: Engine, evidence: str) -> None:
-        if self.is_cut_off():
-            log_event(
-                Event.CRASH_DISMISSED,
-                engine=engine.id,
-                reason="no engine is reachable from here",
-            )
-            return
         _log_crashes(engine, evidence, self.crash_detector.engine_ended(engine))
 
     def _log_if_suspect(self, engine: Engine, reason: str) -> None:
--- a/dotterelpitch/gateway/link.py
+++ b/dotterelpitch/gateway/link.py
@@ -87,10 +87,6 @@
                 return links[0]
         return None
 
-    def any_peer_reaches_engines(self) -> bool:
-        """Return whether a peer has said that it reaches engines."""
-        return any(link.peer_reaches_engines for link in self.all())
-
     def peers(self) -> list[str]:
         """Return the names of all peers with a link."""
         return list(self._links_by_peer)
