--- a/dotterelpitch/gateway/peer_call_server.py
+++ b/dotterelpitch/gateway/peer_call_server.py
@@ -59,7 +59,7 @@
         """Answer one call of a peer."""
         reason = self._reason_to_decline(request)
         if reason:
-            await self._decline(stream, request, reason)
+            await self._decline(stream, reason)
             return
         self._count += 1
         try:
@@ -84,7 +84,7 @@
         )
         return next((reason for applies, reason in rules if applies), "")
 
-    async def _decline(self, stream: Stream, request: ForwardCall, reason: str) -> None:
+    async def _decline(self, stream: Stream, reason: str) -> None:
         log_event(Event.CALL_DECLINED, peer=stream.connection.peer.vm, reason=reason)
         await stream.send(CallDeclined(reason))
 
@@ -94,7 +94,7 @@
         started = self._clock.monotonic()
         body = await _read_body(stream, reservation)
         if body is None:
-            await self._decline(stream, request, "no memory is left for the body")
+            await self._decline(stream, "no memory is left for the body")
             return
         call = self._build_call(request, body, started)
         progress = CallProgress(
--- a/dotterelpitch/gateway/peer_response.py
+++ b/dotterelpitch/gateway/peer_response.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from attrs import define, field
+from attrs import define
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import PeerError
@@ -50,7 +50,6 @@
 
     _stream: Stream
     _clock: Clock
-    is_aborted: bool = field(default=False, init=False)
 
     async def start(self, status: int, headers: Headers) -> None:
         self.is_started = True
@@ -72,7 +71,6 @@
         await self.write(body)
 
     def abort(self) -> None:
-        self.is_aborted = True
         self._stream.reset("broken off")
 
     async def _send(self, head: ForwardedHead) -> None:
--- a/dotterelpitch/routing/engine_contact.py
+++ b/dotterelpitch/routing/engine_contact.py
@@ -25,7 +25,7 @@
 
 
 class ContactState(StrEnum):
-    """What a VM believes of its path to the engines; the values are logged.
+    """What a VM believes of its path to the engines.
 
     IN_DOUBT means that an engine has failed and none has responded for a moment.
     """
@@ -113,6 +113,8 @@
         It doesn't show that new connections can be opened later than that.
         """
         self.heard_at = self._clock.monotonic()
+        if not self._failure_by_engine:
+            return
         self._failure_by_engine = {
             engine_id: failure
             for engine_id, failure in self._failure_by_engine.items()
@@ -134,16 +136,15 @@
         self._failure_by_engine[engine_id] = _Failure(now, is_connecting)
         self.log_change()
 
-    def log_change(self) -> bool:
-        """Log whether contact was lost or is back since the last call; return it."""
+    def log_change(self) -> None:
+        """Log whether contact was lost or is back since the last call."""
         state = self.state
         was_lost = self._logged_state is ContactState.LOST
         self._logged_state = state
         if was_lost is (state is ContactState.LOST):
-            return False
+            return
         log_event(
             Event.ENGINES_REACHED if was_lost else Event.ENGINES_UNREACHED,
             engines=sorted(self._failure_by_engine),
             heard_s=round(self._clock.monotonic() - self.heard_at, 3),
         )
-        return True
--- a/dotterelpitch/routing/leaving_engines.py
+++ b/dotterelpitch/routing/leaving_engines.py
@@ -102,10 +102,10 @@
 
         That changes nothing for a run with a start time that has said so itself.
         """
-        notices = self._notices_by_engine.get(run.engine_id, {})
-        if run in notices and run.started_ms:
-            return
-        notices.pop(run, None)
+        if run in self._notices_by_engine.get(run.engine_id, {}):
+            if run.started_ms:
+                return
+            self._forget(run)
         self._cleared_runs.add(run)
         log_event(Event.ENGINE_STAYS, engine=run.engine_id, started_ms=run.started_ms)
 
@@ -124,9 +124,15 @@
                 notice.needed_at = now
         for run, notice in list(self._notices()):
             if notice.needed_at < now - RETENTION_SECONDS:
-                del self._notices_by_engine[run.engine_id][run]
+                self._forget(run)
         self._cleared_runs &= listed
 
+    def _forget(self, run: EngineRun) -> None:
+        notices = self._notices_by_engine[run.engine_id]
+        del notices[run]
+        if not notices:
+            del self._notices_by_engine[run.engine_id]
+
     def _is_confirmed(self, run: EngineRun) -> bool:
         notice = self._notices_by_engine[run.engine_id].get(run)
         if notice is None:
