Keep cold engines within what they bear from all VMs together

Callers at engines that have just started: nothing read cold_s, cold_per_s, cold_left_ms, or Cold-Ms, so a failure domain that is taken back cold got its whole traffic at once, and engines that get far more than they bear crash.

Change: a limit of an engine has a source and an end now; being cold is a second source beside the engine's own word, and the same counts and buckets keep the fleet to it. For the first 1.5 s, in which nothing is known of what others want, three VMs by rendezvous hashing hold the limit between them.

VmSettings and FleetBounds move out of platform/, which only decodes them.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -43,7 +43,6 @@
 from dotterelpitch.gateway.stream_resumption import StreamResumption
 from dotterelpitch.gateway.version_history_exchange import VersionHistoryExchange
 from dotterelpitch.platform.store import StoreClient
-from dotterelpitch.platform.vm_settings import VmSettings
 from dotterelpitch.protocol.forwarded_call_messages import ForwardCall
 from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
 from dotterelpitch.protocol.handshake import Identity
@@ -54,13 +53,16 @@
 from dotterelpitch.routing.engine_choice import EngineChooser
 from dotterelpitch.routing.engine_contact import EngineContact
 from dotterelpitch.routing.engine_pauses import EnginePauses
+from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.fleet_retry_budget import FleetRetryBudget
 from dotterelpitch.routing.route_table import CallerLimits
+from dotterelpitch.routing.share_holders import ShareHolders
 from dotterelpitch.routing.stream_origins import StreamOrigins
 from dotterelpitch.telemetry.events import Event, log_event
 from dotterelpitch.upstream.pool import SWEEP_INTERVAL_SECONDS, ConnectionPool
+from dotterelpitch.vm_settings import VmSettings
 
 # How long connections of callers are still accepted after SIGTERM. The load balancer
 # checks readiness once per second and stops sending callers after two failed checks.
@@ -79,6 +81,7 @@
         self._stop = asyncio.Event()
         self.state = GatewayState(self._clock)
         self.state.directory.drain_s = vm.promises.drain_s
+        self.state.cold_engines.tolerance = vm.promises.cold_tolerance
         self.loads = FleetLoads(self._clock)
         self.engine_tracker = EngineTracker(self._clock, vm.vm_name, vm.failure_domain)
         promises = vm.promises
@@ -91,14 +94,20 @@
         self.concurrency_limiter = AdaptiveConcurrencyLimiter(
             self._clock, log_limit_change
         )
-        self.rate_limits = FleetRateLimits(self._clock)
+        self.rate_limits = FleetRateLimits(
+            self._clock, cold_engines=self.state.cold_engines
+        )
         self.stream_origins = StreamOrigins(self._clock)
         self.pool = ConnectionPool(self._clock)
         engine_tracker = self.engine_tracker
         self.state.directory.on_restart = engine_tracker.record_engine_restart
+        engine_tracker.on_return = self._record_return
         self.engine_pauses = EnginePauses(self._clock)
         status_recorder = EngineStatusRecorder(
-            self.state, self.rate_limits.registry, self.engine_pauses
+            self.state,
+            self.rate_limits.registry,
+            self.engine_pauses,
+            self.state.cold_engines,
         )
         self.crash_watcher = CrashWatcher(
             self._clock,
@@ -126,6 +135,8 @@
         )
         self._identity = Identity.create(vm.vm_name, "gateway", settings.cluster_key)
         self._fleet = PeerDirectory(self._clock, self._own_fleet_vm())
+        holders = ShareHolders(self._clock, vm.vm_name, self._fleet.known)
+        self.rate_limits.limiter.share_held = holders.share
         self._peer_pool = PeerPool(self._identity)
         self.links = LinkTable()
         self.metrics = GatewayMetrics(
@@ -330,6 +341,11 @@
         except TimeoutError:
             log_event(Event.STOP_CUT, requests=self.ingress.work.names())
 
+    def _record_return(self, engine: Engine) -> None:
+        """Take an engine that has restarted for cold; it may have no record yet."""
+        listed = self.state.directory.engine_by_id.get(engine.id, engine)
+        self.state.cold_engines.assume_cold([listed], "it has restarted")
+
     def _is_ready(self) -> bool:
         return self.state.config is not None and not self._stop.is_set()
 
@@ -355,6 +371,7 @@
         """Apply the settings that don't need a restart."""
         self._topology.seeds = tuple(vm.seeds)
         self.state.directory.drain_s = vm.promises.drain_s
+        self.state.cold_engines.tolerance = vm.promises.cold_tolerance
         self.retry_budget.set_bounds(
             vm.promises.retry_share,
             vm.promises.retry_slack,
--- a/dotterelpitch/gateway/engine_status_recorder.py
+++ b/dotterelpitch/gateway/engine_status_recorder.py
@@ -5,6 +5,7 @@
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.platform.engine_status import EngineStatus
 from dotterelpitch.platform.headers import ResponseClass
+from dotterelpitch.routing.cold_engines import ColdEngines
 from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
@@ -21,6 +22,7 @@
     _state: GatewayState
     _rate_limits: RateLimitRegistry
     _pauses: EnginePauses
+    _cold_engines: ColdEngines
 
     def record(
         self, engine: Engine, response_class: ResponseClass, status: EngineStatus
@@ -31,6 +33,7 @@
         self._record_rate_limit(engine, response_class, status.rate_limit)
         if status.is_leaving:
             self._state.record_leaving(engine.run)
+        self._cold_engines.record_left(engine, status.cold_left_s)
         if status.pause_s is not None:
             self._pauses.record(engine, status.pause_s)
 
--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -1,5 +1,7 @@
 """Tracks the health of engines from the outcomes of attempts."""
 
+from collections.abc import Callable
+
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.call import Call
@@ -40,10 +42,19 @@
 }
 
 
+def _ignore(engine: Engine) -> None:
+    """Ignore the return of an engine."""
+
+
 class EngineTracker:
-    """Health, error rates, reachability, crashes, and cached prompts of engines."""
+    """Health, error rates, reachability, crashes, and cached prompts of engines.
+
+    ``on_return`` is called with an engine that responds after its run has ended.
+    """
 
     def __init__(self, clock: Clock, vm: str, failure_domain: str) -> None:
+        self.on_return: Callable[[Engine], None] = _ignore
+        self._ended_ids: set[str] = set()
         self.health = EngineHealth(clock, HEALTH_POLICY)
         self.error_rates = ErrorRates(clock)
         self.domain_reachability = DomainReachability(clock, failure_domain)
@@ -84,6 +95,9 @@
                 )
         if result.failure is None:
             self.health.record_success(engine.id)
+            if engine.id in self._ended_ids:
+                self._ended_ids.discard(engine.id)
+                self.on_return(engine)
             self.domain_reachability.record_response(engine.failure_domain)
             return
         self._record_failure(engine, result)
@@ -96,6 +110,8 @@
         The requests that it left unanswered become crash suspects. ``evidence`` says
         how it is known, for the log.
         """
+        if failure is FailureKind.REFUSED:
+            self._ended_ids.add(engine.id)
         if self.health.state(engine.id) is not HealthState.SUSPECT:
             self.health.record_failure(engine.id, failure)
             self._log_if_suspect(engine, evidence)
@@ -113,6 +129,7 @@
         """
         if self.crash_detector.has_outlived(engine.id, crashed_at):
             return
+        self._ended_ids.add(engine.id)
         if self.health.state(engine.id) is HealthState.HEALTHY:
             self.health.record_failure(engine.id, FailureKind.REFUSED)
             self._log_if_suspect(engine, "a peer has reported its crash")
@@ -125,6 +142,7 @@
         self.health.retain(engine_ids)
         self.error_rates.retain(engine_ids)
         self.crash_detector.retain(engine_ids)
+        self._ended_ids &= engine_ids
         self.crash_detector.expire()
 
     def _record_failure(self, engine: Engine, result: AttemptResult) -> None:
@@ -135,6 +153,7 @@
                 engine.failure_domain, engine.id
             )
         if failure is FailureKind.REFUSED:
+            self._ended_ids.add(engine.id)
             self._record_crash(engine, result.reason)
         self._log_if_suspect(engine, result.reason)
 
--- a/dotterelpitch/gateway/metrics.py
+++ b/dotterelpitch/gateway/metrics.py
@@ -151,6 +151,11 @@
                 "1 while no engine seems to be reachable from this VM, else 0.",
                 self._engines_unreached,
             ),
+            _gauge(
+                "cold_engines",
+                "Engines that are, or may be, cold and get few requests.",
+                self._cold_engines,
+            ),
             _gauge(
                 "evacuated_failure_domains",
                 "Failure domains whose engines get no requests.",
@@ -240,6 +245,9 @@
     def _engines_unreached(self) -> Iterable[Sample]:
         return [((), int(self._contact.is_lost))]
 
+    def _cold_engines(self) -> Iterable[Sample]:
+        return [((), len(self._state.cold_engines.cold_ids()))]
+
     def _evacuated_domains(self) -> Iterable[Sample]:
         return [((), len(self._state.evacuations.domains))]
 
--- a/dotterelpitch/gateway/settings_reload.py
+++ b/dotterelpitch/gateway/settings_reload.py
@@ -6,8 +6,9 @@
 import attrs
 
 from dotterelpitch.errors import SettingsError
-from dotterelpitch.platform.vm_settings import VmSettings, read_vm_settings
+from dotterelpitch.platform.vm_settings import read_vm_settings
 from dotterelpitch.telemetry.events import Event, log_event
+from dotterelpitch.vm_settings import VmSettings
 
 # Fields that a running process can apply; the others take effect at the next start.
 RELOADABLE_FIELDS = frozenset({"seeds", "store_address", "promises"})
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -14,6 +14,7 @@
     decode_evacuated_domain,
 )
 from dotterelpitch.platform.store import StorePosition, StoreRecord, StoreResponse
+from dotterelpitch.routing.cold_engines import ColdEngines, ColdLimits
 from dotterelpitch.routing.engines import Engine, EngineDirectory, EngineRun
 from dotterelpitch.routing.evacuations import Evacuations
 from dotterelpitch.routing.leaving_engines import LeavingEngines
@@ -33,7 +34,8 @@
     A config is replaced only by one with a higher version. An invalid config record
     leaves the current config in force; an invalid engine record removes the engine.
 
-    ``evacuations`` are the failure domains whose engines get no requests.
+    ``evacuations`` are the failure domains whose engines get no requests, and
+    ``cold_engines`` the engines that bear few.
     ``lacks_evacuations`` is whether records have come from a peer that passes none on.
 
     ``position`` is where in the store's history all changes are applied.
@@ -47,7 +49,8 @@
         self.directory = EngineDirectory(clock)
         self.leaving_engines = LeavingEngines(clock)
         self.directory.is_known_to_leave = self.leaving_engines.__contains__
-        self.evacuations = Evacuations(clock, self.directory.evacuate)
+        self.cold_engines = ColdEngines(clock, self._cold_limits)
+        self.evacuations = Evacuations(clock, self._evacuate)
         self.lacks_evacuations = False
         self._config_decoder = ConfigDecoder()
         self.config: RoutingConfig | None = None
@@ -227,6 +230,30 @@
         )
         return service.health_path if service else DEFAULT_HEALTH_PATH
 
+    def _cold_limits(self, service_name: str) -> ColdLimits:
+        """Return what the engines of a service bear when cold."""
+        config = self.config
+        service = config.service_by_name.get(service_name) if config else None
+        return service.cold if service else ColdLimits()
+
+    def _evacuate(self, domains: frozenset[str]) -> None:
+        """Apply the evacuated failure domains; one that is back may be cold."""
+        ended = self.directory.evacuated_domains - domains
+        self.directory.evacuate(domains)
+        engines = self.directory.engine_by_id.values()
+        returned = [e for e in engines if e.failure_domain in ended]
+        self.cold_engines.assume_cold(returned, "its failure domain is back")
+
+    def _record_cold(self, engine: Engine) -> None:
+        """Record what a record says of its engine, or leaves open, of being cold."""
+        if engine.cold_left_s is not None:
+            self.cold_engines.record_left(engine, engine.cold_left_s)
+            return
+        known = self.directory.engine_by_id.get(engine.id)
+        is_first_list = not self.directory.engine_by_id
+        if not is_first_list and (known is None or known.run != engine.run):
+            self.cold_engines.assume_cold([engine], "it has just been listed")
+
     def expire(self) -> None:
         """Remove the engines that have not re-registered after a store outage.
 
@@ -349,6 +376,7 @@
         self.record_by_key[record.key] = record.value
         if engine.is_leaving:
             self.record_leaving(engine.run, by_registry=True)
+        self._record_cold(engine)
         return engine
 
     def _forget_record(self, engine: Engine) -> None:
--- a/dotterelpitch/platform/_fields.py
+++ b/dotterelpitch/platform/_fields.py
@@ -1,6 +1,7 @@
 """Reads fields of decoded JSON and checks their types."""
 
 import json
+import math
 import reprlib
 from collections.abc import Mapping
 from typing import Any, TypeVar
@@ -46,6 +47,17 @@
     return value
 
 
+def read_amount(table: Any, name: str, default: float = 0.0) -> float:
+    """Return a field that holds a finite number from 0, as a float.
+
+    Raises PlatformError as ``read_field`` does, and for any other number.
+    """
+    value = float(read_field(table, name, (int, float), default))
+    if not 0.0 <= value < math.inf:
+        raise PlatformError(f"{name}: out of range")
+    return value
+
+
 def read_field(
     table: Any, name: str, expected: type[T] | tuple, default: Any = _REQUIRED
 ) -> T:
--- a/dotterelpitch/platform/config_record.py
+++ b/dotterelpitch/platform/config_record.py
@@ -2,7 +2,14 @@
 
 from typing import Any
 
-from dotterelpitch.platform._fields import decode_json, read_field, read_seconds
+from dotterelpitch.errors import PlatformError
+from dotterelpitch.platform._fields import (
+    decode_json,
+    read_amount,
+    read_field,
+    read_seconds,
+)
+from dotterelpitch.routing.cold_engines import ColdLimits
 from dotterelpitch.routing.route_table import (
     DEFAULT_HEALTH_PATH,
     Account,
@@ -13,6 +20,7 @@
     ServiceLimits,
     WeightedService,
 )
+from dotterelpitch.telemetry.events import Event, log_event
 
 CONFIG_KEY = "op/config"
 
@@ -107,9 +115,21 @@
         slots=read_field(engine, "capacity", int, 0),
         cache_tokens=read_field(engine, "kv_cache_tokens", int, 0),
         health_path=_decode_health_path(table),
+        cold=_decode_cold_limits(table),
     )
 
 
+def _decode_cold_limits(table: Any) -> ColdLimits:
+    """Return what cold engines bear; figures that can't be used count as absent."""
+    try:
+        return ColdLimits(
+            read_amount(table, "cold_s"), read_amount(table, "cold_per_s")
+        )
+    except PlatformError as error:
+        log_event(Event.CONFIG_FIELD_IGNORED, reason=str(error))
+        return ColdLimits()
+
+
 def _decode_health_path(table: Any) -> str:
     """Return the path for health requests; one that can't be sent isn't used."""
     path = read_field(table, "health_path", str, DEFAULT_HEALTH_PATH)
--- a/dotterelpitch/platform/engine_record.py
+++ b/dotterelpitch/platform/engine_record.py
@@ -4,6 +4,7 @@
 
 from dotterelpitch.errors import PlatformError
 from dotterelpitch.platform._fields import (
+    MILLISECONDS_PER_SECOND,
     check_text,
     decode_json,
     read_field,
@@ -14,6 +15,8 @@
 
 ENGINE_PREFIX = "servers/"
 
+MAX_COLD_MS = 3_600_000
+
 _TEXT_FIELDS = ("id", "service", "failure_domain", "version")
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -47,7 +50,19 @@
         is_leaving=_IS_LEAVING_BY_STATE[state],
         started_ms=read_whole_number(content, "born", 0),
         version=read_field(content, "version", str, ""),
+        cold_left_s=_decode_cold_left_s(content),
     )
     for name in _TEXT_FIELDS:
         check_text(name, getattr(engine, name))
     return engine
+
+
+def _decode_cold_left_s(content: Any) -> float | None:
+    """Return for how many seconds an engine stays cold; None if it doesn't say.
+
+    A number that is out of range says nothing.
+    """
+    if "cold_left_ms" not in content:
+        return None
+    left_ms = read_field(content, "cold_left_ms", (int, float))
+    return left_ms / MILLISECONDS_PER_SECOND if 0 <= left_ms < MAX_COLD_MS else None
--- a/dotterelpitch/platform/engine_status.py
+++ b/dotterelpitch/platform/engine_status.py
@@ -9,6 +9,7 @@
 _SERVER_LIMIT = "server-limit"
 _SERVER_LEAVING = "server-leaving"
 _RETRY_AFTER = "retry-after"
+_COLD_MS = "cold-ms"
 
 # The statuses with which an engine says that it wants no requests for a while.
 _STATUSES_WITH_PAUSE = {429, 503}
@@ -36,7 +37,8 @@
 
     ``is_success`` is whether the response was one. ``rate_limit`` is how many requests
     per second it takes from all VMs, and ``is_leaving`` whether it is about to end.
-    ``pause_s`` is for how many seconds it wants no request from this VM.
+    ``pause_s`` is for how many seconds it wants no request from this VM, and
+    ``cold_left_s`` for how many it stays cold.
     """
 
     is_success: bool = False
@@ -44,6 +46,7 @@
     rate_limit: float | None = None
     is_leaving: bool = False
     pause_s: float | None = None
+    cold_left_s: float = 0.0
 
 
 def decode_engine_status(
@@ -68,6 +71,7 @@
         pause_s=_decode_number(values_by_name.get(_RETRY_AFTER, []))
         if status in _STATUSES_WITH_PAUSE
         else None,
+        cold_left_s=(_decode_number(values_by_name.get(_COLD_MS, [])) or 0.0) / 1000,
     )
 
 
--- a/dotterelpitch/platform/vm_settings.py
+++ b/dotterelpitch/platform/vm_settings.py
@@ -4,51 +4,11 @@
 from pathlib import Path
 from typing import Any
 
-from attrs import frozen
-
 from dotterelpitch.errors import PlatformError, SettingsError
 from dotterelpitch.platform._fields import read_field, read_seconds
+from dotterelpitch.routing.cold_engines import ColdTolerance
 from dotterelpitch.settings import check_address
-
-
-@frozen
-class FleetBounds:
-    """The bounds that this deployment must keep; times are in seconds.
-
-    In each window of ``retry_window_s``, all VMs together may retry a share of
-    ``retry_share`` of the requests to a service, plus ``retry_slack`` requests.
-    ``stop_grace_s`` bounds the planned stop of a process, and ``drain_s`` is the
-    drain time of leaving engines.
-    """
-
-    retry_share: float
-    retry_slack: float
-    retry_window_s: float
-    stop_grace_s: float
-    drain_s: float
-    load_multiple: float
-
-
-@frozen
-class VmSettings:
-    """The identity of this process, its addresses, and its resources.
-
-    Addresses are ``IP:port``. ``peer_listen`` is where the other VMs reach this
-    process; ``seeds`` are such addresses of up to three VMs, any of which may no
-    longer exist. The names of changed fields are logged when the file is reloaded.
-    """
-
-    vm_name: str
-    failure_domain: str
-    caller_listen: str
-    ready_listen: str
-    peer_listen: str
-    seeds: tuple[str, ...]
-    store_address: str
-    ip: str
-    memory_mb: int
-    link_mbps: int
-    promises: FleetBounds
+from dotterelpitch.vm_settings import FleetBounds, VmSettings
 
 
 def read_vm_settings(path: str) -> VmSettings:
@@ -94,6 +54,10 @@
         stop_grace_s=read_field(bounds, "grace_s", (int, float), 8),
         drain_s=read_seconds(bounds, "drain_ms", 2000),
         load_multiple=read_field(bounds, "cap_x", (int, float), 2),
+        cold_tolerance=ColdTolerance(
+            read_field(bounds, "cold_over", (int, float), 1.5),
+            read_field(bounds, "cold_slack", (int, float), 5),
+        ),
     )
 
 
--- a/dotterelpitch/routing/engine_choice.py
+++ b/dotterelpitch/routing/engine_choice.py
@@ -196,6 +196,9 @@
         for engine in engines:
             if engine.id not in limited_ids:
                 return engine
+            is_first = wanted is EngineCountKind.WANTED_FIRST
+            if not is_first and self._rate_limiter.is_barred(engine):
+                continue
             if engine.id not in asked_ids and len(asked_ids) < MAX_LIMITED_ASKED:
                 asked_ids.add(engine.id)
                 if self._rate_limiter.try_send(engine, wanted):
--- a/dotterelpitch/routing/engine_rate_limiter.py
+++ b/dotterelpitch/routing/engine_rate_limiter.py
@@ -1,4 +1,4 @@
-"""Keeps the requests of all VMs to an engine within the rate that it names.
+"""Keeps the requests of all VMs to an engine within its limit.
 
 Each VM counts what all VMs send to the engine in a leaky bucket that drains at the
 engine's limit: its own requests at once, those of the others when their digests
@@ -9,10 +9,10 @@
 """
 
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import ClassVar
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.routing.decaying_rate import DecayingRate
@@ -25,12 +25,8 @@
     FleetCounts,
 )
 from dotterelpitch.routing.leaky_bucket import LeakyBucket
-from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
+from dotterelpitch.routing.limit_source import LimitSource, RateLimit
 
-# An engine may get this much at once: its limit for so many seconds, and so many
-# requests.
-BURST_SECONDS = 0.75
-BURST_REQUESTS = 2.0
 # Requests that another engine has turned away leave this share of the burst to those
 # whose prompt is cached.
 NEXT_BURST_SHARE = 0.5
@@ -38,38 +34,53 @@
 MAX_DEBT_SECONDS = 4.0
 # What is wanted of an engine is averaged over this time.
 WANTED_SECONDS = 2.0
-# Each VM admits this multiple of its part by chance; the bucket takes care of the rest.
-CHANCE_HEADROOM = 1.25
-# Even an engine that names 0 gets a request now and then, whose response tells when
-# the limit has ended.
-MIN_PER_SECOND = 0.1
+
+
+def _hold_all(engine_id: str) -> float:
+    """Return the share of a VM that is alone."""
+    return 1.0
 
 
 @define
 class _EngineState:
-    """The bucket of an engine, and the rates at which it is wanted."""
+    """The buckets of an engine, and the rates at which it is wanted.
+
+    ``bucket`` is that of all VMs, and ``share_bucket`` that of the share which this VM
+    holds while the limit is shared out.
+    """
 
     bucket: LeakyBucket
-    wanted_by_own: DecayingRate = field(factory=lambda: DecayingRate(WANTED_SECONDS))
-    wanted_by_others: dict[EngineCountKind, DecayingRate] = field(
-        factory=lambda: {
-            EngineCountKind.WANTED_FIRST: DecayingRate(WANTED_SECONDS),
-            EngineCountKind.WANTED_NEXT: DecayingRate(WANTED_SECONDS),
+    share_bucket: LeakyBucket
+    wanted_by_own: DecayingRate
+    wanted_by_others: dict[EngineCountKind, DecayingRate]
+
+    @classmethod
+    def create(cls, level: float, now: float) -> "_EngineState":
+        """Return the state of an engine of which nothing has been counted."""
+        own, first, following = (
+            DecayingRate(WANTED_SECONDS, began_at=now) for _ in range(3)
+        )
+        by_kind = {
+            EngineCountKind.WANTED_FIRST: first,
+            EngineCountKind.WANTED_NEXT: following,
         }
-    )
+        return cls(LeakyBucket(level, now), LeakyBucket(0.0, now), own, by_kind)
 
 
 @define
 class EngineRateLimiter:
     """Decides whether a request may go to an engine with a rate limit.
 
+    Of the limits that the sources have for an engine the lowest counts. ``share_held``
+    returns the share of an engine's limit that this VM holds while it is shared out.
     ``fleet_share`` is the share of the fleet that this VM is in contact with. The rest
     may be sending too, unseen, so a part of the limit is left to it.
 
     >>> from dotterelpitch.clock import ManualClock
     >>> clock = ManualClock()
+    >>> from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
     >>> registry = RateLimitRegistry(clock)
-    >>> limiter = EngineRateLimiter(clock, registry, FleetCounts(clock))
+    >>> limiter = EngineRateLimiter(clock, [registry], FleetCounts(clock))
     >>> engine = Engine("e1", "chat", "127.0.0.1:1", "a")
     >>> registry.record_response(engine, 2.0)
     >>> limiter.try_send(engine)
@@ -80,10 +91,11 @@
     """
 
     _clock: Clock
-    _registry: RateLimitRegistry
+    _sources: Sequence[LimitSource]
     _counts: FleetCounts
     fleet_share: float = 1.0
     _rng: random.Random = field(factory=random.Random)
+    share_held: Callable[[str], float] = _hold_all
     _state_by_id: dict[str, _EngineState] = field(factory=dict)
 
     _BURST_SHARE: ClassVar[Mapping[EngineCountKind, float]] = {
@@ -96,19 +108,31 @@
 
         What was counted of an engine is forgotten when its limit has ended.
         """
-        named = self._registry.limit(engine)
-        if named is None:
+        limit = self._rate_limit(engine)
+        return None if limit is None else limit.per_second
+
+    def _rate_limit(self, engine: Engine) -> RateLimit | None:
+        """Return the lowest limit in force, as far as the fleet is in contact."""
+        found = [source.rate_limit(engine) for source in self._sources]
+        limits = [limit for limit in found if limit is not None]
+        if not limits:
             self._state_by_id.pop(engine.id, None)
             return None
-        return max(MIN_PER_SECOND, named) * self.fleet_share
+        lowest = min(limits, key=lambda limit: limit.per_second)
+        return evolve(lowest, per_second=lowest.per_second * self.fleet_share)
 
     def limits(self, engines: list[Engine]) -> dict[str, float]:
         """Return the limits in force of some engines by id."""
-        if self._registry.is_empty():
+        if all(source.is_empty() for source in self._sources):
             return {}
         limit_by_id = {engine.id: self.limit(engine) for engine in engines}
         return {i: limit for i, limit in limit_by_id.items() if limit is not None}
 
+    def is_barred(self, engine: Engine) -> bool:
+        """Return whether only other VMs hold shares of an engine's limit now."""
+        limit = self._rate_limit(engine)
+        return limit is not None and self._share(engine, limit) == 0.0
+
     def try_send(
         self, engine: Engine, wanted: EngineCountKind = EngineCountKind.WANTED_FIRST
     ) -> bool:
@@ -117,7 +141,7 @@
         An engine without a limit takes it. One that has just named a limit starts with
         a full bucket.
         """
-        limit = self.limit(engine)
+        limit = self._rate_limit(engine)
         if limit is None:
             return True
         state = self._state(engine.id, limit)
@@ -125,17 +149,38 @@
         self._counts.add(OWN, {EngineCountKey(engine.id, wanted): 1})
         if wanted is EngineCountKind.WANTED_FIRST:
             state.wanted_by_own.add(now)
-        max_level = self._BURST_SHARE[wanted] * self._burst(limit)
-        if state.bucket.level + 1.0 > max_level:
-            return False
-        if self._rng.random() >= self._chance(state, wanted, limit, now):
+        share = self._share(engine, limit)
+        if share is not None:
+            may_send = self._fits_share(state, share, limit, now)
+        else:
+            max_level = self._BURST_SHARE[wanted] * self._burst(limit)
+            has_room = state.bucket.level + 1.0 <= max_level
+            chance = self._chance(state, wanted, limit, now)
+            may_send = has_room and self._rng.random() < chance
+        if may_send:
+            self._count_sent(engine.id, state, limit, 1)
+        return may_send
+
+    def _share(self, engine: Engine, limit: RateLimit) -> float | None:
+        """Return the share of a limit that this VM holds; None if it isn't split."""
+        if self._clock.monotonic() >= limit.shared_out_until:
+            return None
+        return self.share_held(engine.id)
+
+    @staticmethod
+    def _fits_share(
+        state: _EngineState, share: float, limit: RateLimit, now: float
+    ) -> bool:
+        """Count one request in the share that this VM holds, if there is room."""
+        state.share_bucket.drain(now, share * limit.per_second)
+        if share == 0.0 or state.share_bucket.level > 0.0:
             return False
-        self._count_sent(engine.id, state, limit, 1)
+        state.share_bucket.add(1, max_level=1.0)
         return True
 
     def take_back(self, engine: Engine) -> None:
         """Take back a request that wasn't sent after all."""
-        limit = self.limit(engine)
+        limit = self._rate_limit(engine)
         if limit is not None:
             self._count_sent(engine.id, self._state(engine.id, limit), limit, -1)
 
@@ -148,7 +193,7 @@
             if not isinstance(key, EngineCountKey):
                 continue
             engine = engine_by_id.get(key.engine_id)
-            limit = self.limit(engine) if engine else None
+            limit = self._rate_limit(engine) if engine else None
             if limit is None:
                 continue
             state = self._state(key.engine_id, limit)
@@ -162,44 +207,44 @@
         for engine_id in self._state_by_id.keys() - engine_ids:
             del self._state_by_id[engine_id]
 
-    def _state(self, engine_id: str, limit: float) -> _EngineState:
+    def _state(self, engine_id: str, limit: RateLimit) -> _EngineState:
         """Return the state of an engine, drained up to now."""
         now = self._clock.monotonic()
         state = self._state_by_id.get(engine_id)
         if state is None:
-            state = _EngineState(LeakyBucket(self._burst(limit), now))
+            state = _EngineState.create(self._burst(limit), now)
             self._state_by_id[engine_id] = state
-        state.bucket.drain(now, limit)
+        state.bucket.drain(now, limit.per_second)
         state.bucket.add(0, self._max_level(limit))
         return state
 
     def _count_sent(
-        self, engine_id: str, state: _EngineState, limit: float, count: int
+        self, engine_id: str, state: _EngineState, limit: RateLimit, count: int
     ) -> None:
         state.bucket.add(count, self._max_level(limit))
         self._counts.add(OWN, {EngineCountKey(engine_id, EngineCountKind.SENT): count})
 
     @staticmethod
     def _chance(
-        state: _EngineState, wanted: EngineCountKind, limit: float, now: float
+        state: _EngineState, wanted: EngineCountKind, limit: RateLimit, now: float
     ) -> float:
         """Return the share of the requests of one kind that may be sent.
 
         Requests that another engine has turned away get what the others leave.
         """
         by_others = state.wanted_by_others[wanted].per_second(now)
-        spare = limit
+        spare = limit.per_second
         if wanted is EngineCountKind.WANTED_NEXT:
             first = state.wanted_by_others[EngineCountKind.WANTED_FIRST]
             spare -= first.per_second(now) + state.wanted_by_own.per_second(now)
         if by_others <= 0.0:
             return 1.0
-        return min(1.0, CHANCE_HEADROOM * max(0.0, spare) / by_others)
+        return min(1.0, limit.headroom * max(0.0, spare) / by_others)
 
-    def _burst(self, limit: float) -> float:
+    def _burst(self, limit: RateLimit) -> float:
         """Return how many requests an engine with this limit may get at once."""
-        requests = BURST_REQUESTS * self.fleet_share
-        return max(1.0, BURST_SECONDS * limit + requests)
+        requests = limit.burst_requests * self.fleet_share
+        return max(1.0, limit.burst_s * limit.per_second + requests)
 
-    def _max_level(self, limit: float) -> float:
-        return self._burst(limit) + MAX_DEBT_SECONDS * limit
+    def _max_level(self, limit: RateLimit) -> float:
+        return self._burst(limit) + MAX_DEBT_SECONDS * limit.per_second
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -37,7 +37,9 @@
 
     ``address`` is ``IP:port``. ``started_ms`` is its start time in Unix
     milliseconds, or 0 if unknown. An engine may restart under the same id.
-    ``version`` is that of its software, or empty if unknown.
+    ``version`` is that of its software, or empty if unknown. ``cold_left_s`` is for how
+    many seconds it said that it stays cold, when it wrote its record, or None; it
+    doesn't tell two records apart.
     """
 
     id: str
@@ -48,6 +50,7 @@
     is_leaving: bool = False
     started_ms: int = 0
     version: str = ""
+    cold_left_s: float | None = field(default=None, eq=False)
 
     @property
     def service_version(self) -> ServiceVersion:
--- a/dotterelpitch/routing/fleet_rate_limits.py
+++ b/dotterelpitch/routing/fleet_rate_limits.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from dotterelpitch.clock import Clock
+from dotterelpitch.routing.cold_engines import ColdEngines, ColdLimits
 from dotterelpitch.routing.engine_rate_limiter import EngineRateLimiter
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.fleet_counts import CountKey, FleetCounts
@@ -14,16 +15,24 @@
 class FleetRateLimits:
     """What is known of the engines' limits, and the limiters that use it.
 
-    ``registry`` holds the limits, ``counts`` what VMs tell one another, ``limiter``
-    decides for each engine, and ``admission`` for services whose engines all have
-    limits. They draw from ``rng``.
+    ``registry`` holds the limits that engines name, ``cold_engines`` those that have
+    just started, ``counts`` what VMs tell one another, ``limiter`` decides for each
+    engine, and ``admission`` for services whose engines all have limits. They draw from
+    ``rng``.
     """
 
-    def __init__(self, clock: Clock, rng: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random | None = None,
+        cold_engines: ColdEngines | None = None,
+    ) -> None:
         rng = rng or random.Random()
         self.registry = RateLimitRegistry(clock)
+        self.cold_engines = cold_engines or ColdEngines(clock, lambda _: ColdLimits())
         self.counts = FleetCounts(clock)
-        self.limiter = EngineRateLimiter(clock, self.registry, self.counts, rng=rng)
+        sources = (self.registry, self.cold_engines)
+        self.limiter = EngineRateLimiter(clock, sources, self.counts, rng=rng)
         self.admission = PriorityAdmission(clock, self.counts, rng)
 
     def admits(self, service: str, priority: int, engines: list[Engine]) -> bool:
@@ -52,4 +61,5 @@
     def retain(self, engine_ids: set[str]) -> None:
         """Remove all engines that aren't in ``engine_ids``."""
         self.registry.retain(engine_ids)
+        self.cold_engines.retain(engine_ids)
         self.limiter.retain(engine_ids)
--- a/dotterelpitch/routing/rate_limit_registry.py
+++ b/dotterelpitch/routing/rate_limit_registry.py
@@ -11,6 +11,7 @@
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.routing.engines import Engine
+from dotterelpitch.routing.limit_source import LimitSource, RateLimit
 from dotterelpitch.telemetry.events import Event, log_event
 
 # A limit ends with a response without one, but not with one that may have overtaken
@@ -18,6 +19,9 @@
 ABSENT_DELAY_SECONDS = 0.5
 # An unchanged limit is reported to the peers again at this interval.
 REFRESH_SECONDS = 1.0
+# Even an engine that names 0 gets a request now and then, whose response tells when
+# the limit has ended.
+MIN_PER_SECOND = 0.1
 
 
 @frozen
@@ -42,7 +46,7 @@
 
 
 @define
-class RateLimitRegistry:
+class RateLimitRegistry(LimitSource):
     """The limits in force by engine, from responses here and at the peers.
 
     >>> from dotterelpitch.clock import ManualClock
@@ -93,6 +97,11 @@
             return None
         return observed.per_second
 
+    def rate_limit(self, engine: Engine) -> RateLimit | None:
+        """Return the limit in force of an engine, with the usual bursts, or None."""
+        limit = self.limit(engine)
+        return None if limit is None else RateLimit(max(MIN_PER_SECOND, limit))
+
     def is_empty(self) -> bool:
         """Return whether no engine that is known has named a limit."""
         return not self._observed_by_id
--- a/dotterelpitch/routing/route_table.py
+++ b/dotterelpitch/routing/route_table.py
@@ -9,6 +9,8 @@
 
 from attrs import define, field, frozen
 
+from dotterelpitch.routing.cold_engines import ColdLimits
+
 DEFAULT_HEALTH_PATH = "/health"
 
 
@@ -77,13 +79,14 @@
     ``max_connections`` counts the connections of all VMs together, ``slots`` the
     concurrent requests. ``cache_tokens`` is the size of the prompt cache, 0 for
     engines without prompts. ``health_path`` is where an engine answers whether it is
-    healthy.
+    healthy. ``cold`` is what an engine bears when it has just started.
     """
 
     max_connections: int
     slots: int = 0
     cache_tokens: int = 0
     health_path: str = DEFAULT_HEALTH_PATH
+    cold: ColdLimits = field(factory=ColdLimits)
 
 
 @frozen
--- /dev/null
+++ b/dotterelpitch/vm_settings.py
@@ -0,0 +1,47 @@
+"""What the platform tells a process of its VM and of the deployment's bounds."""
+
+from attrs import frozen
+
+from dotterelpitch.routing.cold_engines import ColdTolerance
+
+
+@frozen
+class FleetBounds:
+    """The bounds that this deployment must keep; times are in seconds.
+
+    In each window of ``retry_window_s``, all VMs together may retry a share of
+    ``retry_share`` of the requests to a service, plus ``retry_slack`` requests.
+    ``stop_grace_s`` bounds the planned stop of a process, and ``drain_s`` is the
+    drain time of leaving engines. ``cold_tolerance`` is what cold engines may get over
+    their limit.
+    """
+
+    retry_share: float
+    retry_slack: float
+    retry_window_s: float
+    stop_grace_s: float
+    drain_s: float
+    load_multiple: float
+    cold_tolerance: ColdTolerance
+
+
+@frozen
+class VmSettings:
+    """The identity of this process, its addresses, and its resources.
+
+    Addresses are ``IP:port``. ``peer_listen`` is where the other VMs reach this
+    process; ``seeds`` are such addresses of up to three VMs, any of which may no
+    longer exist. The names of changed fields are logged when the file is reloaded.
+    """
+
+    vm_name: str
+    failure_domain: str
+    caller_listen: str
+    ready_listen: str
+    peer_listen: str
+    seeds: tuple[str, ...]
+    store_address: str
+    ip: str
+    memory_mb: int
+    link_mbps: int
+    promises: FleetBounds
--- a/tests/harness/simulated_gateways.py
+++ b/tests/harness/simulated_gateways.py
@@ -22,6 +22,7 @@
 from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
+from dotterelpitch.routing.share_holders import ShareHolders
 from dotterelpitch.routing.stream_origins import StreamOrigins
 
 PERIOD_SECONDS = 0.25
@@ -61,7 +62,11 @@
         )
         self.suspects = self.engine_tracker.suspects
         self.state = GatewayState(self.clock)
-        self.rate_limits = FleetRateLimits(self.clock, random.Random(self.vm.name))
+        self.rate_limits = FleetRateLimits(
+            self.clock, random.Random(self.vm.name), self.state.cold_engines
+        )
+        holders = ShareHolders(self.clock, self.vm.name, self.fleet.known)
+        self.rate_limits.limiter.share_held = holders.share
         self.rate_limit_exchange = RateLimitExchange(
             self.clock, self.state, self.topology, self.fleet, self.rate_limits
         )
