--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -27,7 +27,11 @@
     HeaderField,
 )
 from dotterelpitch.protocol.frames import Data, End, Welcome
-from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
+from dotterelpitch.protocol.gateway_messages import (
+    ENGINE_CONTACT_LINK_VERSION,
+    LINK_VERSION,
+    FleetVm,
+)
 from dotterelpitch.protocol.work_tracker import WorkTracker
 from dotterelpitch.routing.engine_contact import UNCONFIRMED_SECONDS, EngineContact
 from tests.harness.gateway_fleet import ACCOUNT, HOST, make_config
@@ -196,7 +200,7 @@
 
 
 UNLINKED = FleetVm("vm7", "b", "vm7:1", 100, LINK_VERSION)
-EARLIER_BUILD = FleetVm("vm8", "b", "vm8:1", 100, LINK_VERSION - 1)
+EARLIER_BUILD = FleetVm("vm8", "b", "vm8:1", 100, ENGINE_CONTACT_LINK_VERSION - 1)
 
 
 # Guards against: dead engines are taken for a cut, or calls go to VMs that are cut off
