Ask engines for a sign of life only while nothing is heard, one at a time

Cause: a single failed connect left a VM in doubt although other responses came in, it asked two engines at once, again each 0.5 s; and an engine counted as silent after 0.4 s however long its request may take.

Change: bytes of any response after a failure leave no doubt; a second engine is asked only if the first hasn't responded within 0.1 s; an engine is silent after 0.75 of its request's objective if that is longer than 0.4 s.

--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -54,7 +54,10 @@
             self._call.service, route.objective_s
         )
         self._attempt = self._crash_watcher.attempt_sent(
-            self._engine, self._call.fingerprint, self._call.leading_parts
+            self._engine,
+            self._call.fingerprint,
+            self._call.leading_parts,
+            route.objective_s,
         )
 
     def head_received(
@@ -75,6 +78,7 @@
 
     def data_received(self) -> None:
         """Record bytes of the response."""
+        self._contact.record_data()
         self._crash_watcher.heard_from(self._engine)
 
     def output_received(self) -> None:
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -90,10 +90,17 @@
                     self.check_soon(engine)
 
     def attempt_sent(
-        self, engine: Engine, fingerprint: str, parts: tuple[str, ...] = ()
+        self,
+        engine: Engine,
+        fingerprint: str,
+        parts: tuple[str, ...] = (),
+        objective_s: float = 0.0,
     ) -> UnansweredAttempt:
-        """Record that a request was sent to an engine."""
-        return self._detector.attempt_sent(engine, fingerprint, parts)
+        """Record that a request was sent to an engine.
+
+        ``objective_s`` is the time in which the response should start.
+        """
+        return self._detector.attempt_sent(engine, fingerprint, parts, objective_s)
 
     def heard_from(self, engine: Engine) -> None:
         """Record bytes from an engine."""
--- a/dotterelpitch/gateway/engine_contact_watcher.py
+++ b/dotterelpitch/gateway/engine_contact_watcher.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import TypeVar
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.state import GatewayState
@@ -15,19 +16,24 @@
 # The interval of the checks; while contact is lost they tell when it is back.
 CHECK_INTERVAL_SECONDS = 0.5
 CHECK_TIMEOUT_SECONDS = 0.25
+# A sound engine responds within this time; then a second one is asked as well.
+HEDGE_SECONDS = 0.1
 # Engines asked at a time; as many failures as make contact count as lost.
 ENGINES_ASKED = 2
 # With a request unanswered and nothing heard from any engine for this long, the path is
 # in doubt as well.
 SILENCE_SECONDS = 0.4
 
+T = TypeVar("T")
 RunCheck = Callable[[EngineCheck], Awaitable[CheckResult]]
 
 _RESPONSES = {CheckResult.RESPONDED, CheckResult.RETURNED, CheckResult.REPLACED}
 
 
 class EngineContactWatcher:
-    """Asks two engines for a sign of life while contact is in doubt or lost.
+    """Asks engines for a sign of life while contact is in doubt or lost.
+
+    A second one is asked only if the first doesn't respond at once.
 
     ``on_change`` is called when contact is lost or back. One of the two is in the VM's
     own ``failure_domain``, if there is any.
@@ -69,10 +75,7 @@
         now = self._clock.monotonic()
         if self._is_in_doubt(now) and now - self._asked_at >= CHECK_INTERVAL_SECONDS:
             self._asked_at = now
-            for engine in self._sample():
-                task = asyncio.create_task(self._check(engine))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+            self._start(self._ask(self._sample()))
 
     def _is_in_doubt(self, now: float) -> bool:
         if self._contact.state is not ContactState.IN_CONTACT:
@@ -90,7 +93,22 @@
         others = [engine for engine in engines if engine not in near]
         return (near + others)[:ENGINES_ASKED]
 
-    async def _check(self, engine: Engine) -> None:
+    def _start(self, coroutine: Coroutine[None, None, T]) -> "asyncio.Task[T]":
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _ask(self, engines: list[Engine]) -> None:
+        """Ask engines in turn until one has responded, not waiting long for each."""
+        for engine in engines:
+            check = self._start(self._check(engine))
+            done, _ = await asyncio.wait([check], timeout=HEDGE_SECONDS)
+            if done and check.result():
+                return
+
+    async def _check(self, engine: Engine) -> bool:
+        """Return whether an engine responds, and record it."""
         began = self._clock.monotonic()
         check = EngineCheck(
             engine.id,
@@ -100,7 +118,9 @@
             patience_s=0.0,
             timeout_s=CHECK_TIMEOUT_SECONDS,
         )
-        if await self._run_check(check) in _RESPONSES:
+        has_responded = await self._run_check(check) in _RESPONSES
+        if has_responded:
             self._contact.record_response(began)
         else:
             self._contact.record_failure(engine.id, is_connecting=True)
+        return has_responded
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -23,6 +23,9 @@
 
 # A busy engine says something more often than this.
 SILENCE_SECONDS = 0.4
+# A request that may take longer makes its engine silent only after this fraction of its
+# objective.
+SILENCE_OBJECTIVE_FRACTION = 0.75
 # How long an attempt that has ended unanswered can belong to a crash.
 MAX_ATTEMPT_AGE_SECONDS = 5.0
 # Bytes of other responses, sent before a crash, may be read this long after the
@@ -40,13 +43,15 @@
     registered then. All times are of the monotonic clock, in seconds. ``ended_at`` is
     None while it is in flight; ``first_output_at`` and ``last_output_at`` are None
     before the first byte of the response. ``is_broken`` is whether its connection
-    broke, and ``ended_with_connection`` whether the response ended so.
+    broke, and ``ended_with_connection`` whether the response ended so. The engine is
+    silent if it has sent nothing for ``silence_s`` seconds meanwhile.
     """
 
     engine: Engine
     fingerprint: str
     parts: tuple[str, ...]
     sent_at: float
+    silence_s: float = SILENCE_SECONDS
     first_output_at: float | None = None
     last_output_at: float | None = None
     ended_at: float | None = None
@@ -98,10 +103,19 @@
     _unnamed_run_count: int = 0
 
     def attempt_sent(
-        self, engine: Engine, fingerprint: str, parts: tuple[str, ...] = ()
+        self,
+        engine: Engine,
+        fingerprint: str,
+        parts: tuple[str, ...] = (),
+        objective_s: float = 0.0,
     ) -> UnansweredAttempt:
-        """Record that a request was sent to an engine."""
-        attempt = UnansweredAttempt(engine, fingerprint, parts, self._clock.monotonic())
+        """Record that a request was sent to an engine.
+
+        ``objective_s`` is the time in which the response should start.
+        """
+        silence_s = max(SILENCE_SECONDS, SILENCE_OBJECTIVE_FRACTION * objective_s)
+        now = self._clock.monotonic()
+        attempt = UnansweredAttempt(engine, fingerprint, parts, now, silence_s)
         self._attempts_by_engine.setdefault(engine.id, []).append(attempt)
         return attempt
 
@@ -157,15 +171,19 @@
 
     def silent_engines(self) -> list[Engine]:
         """Return the engines that leave an attempt unanswered and are silent."""
-        latest = self._clock.monotonic() - SILENCE_SECONDS
+        now = self._clock.monotonic()
         silent = []
         for engine_id in self._attempts_by_engine:
-            if self.has_outlived(engine_id, latest):
-                continue
             attempts = self._open_attempts(engine_id)
-            silent += [a.engine for a in attempts if a.sent_at <= latest][-1:]
+            silent += [a.engine for a in attempts if self._is_silent_for(a, now)][-1:]
         return silent
 
+    def _is_silent_for(self, attempt: UnansweredAttempt, now: float) -> bool:
+        """Return whether the engine of an attempt has sent nothing for too long."""
+        latest = now - attempt.silence_s
+        is_older = attempt.sent_at <= latest
+        return is_older and not self.has_outlived(attempt.engine.id, latest)
+
     def has_broken_attempt(self, engine_id: str, since: float) -> bool:
         """Return whether a connection broke after ``since`` and the engine is silent.
 
--- a/dotterelpitch/routing/engine_contact.py
+++ b/dotterelpitch/routing/engine_contact.py
@@ -27,7 +27,7 @@
 class ContactState(StrEnum):
     """What a VM believes of its path to the engines.
 
-    IN_DOUBT means that an engine has failed and none has responded for a moment.
+    IN_DOUBT means that an engine has failed and none has sent anything for a moment.
     """
 
     IN_CONTACT = "in contact"
@@ -50,7 +50,7 @@
 class EngineContact:
     """The latest responses and failures of engines, from all calls of this VM.
 
-    ``heard_at`` is when an engine last responded, a time of the monotonic clock.
+    ``heard_at`` is when an engine last sent anything, a time of the monotonic clock.
     ``count_engines`` returns how many engines there are. ``near_ids`` returns those in
     the VM's own failure domain: a partition separates it from them last, so contact
     isn't lost before one of them has failed, if there are any.
@@ -85,10 +85,14 @@
         }
         if recent and self._are_enough(recent.keys()):
             return ContactState.LOST
-        if any(failure.at <= now - DOUBT_SECONDS for failure in recent.values()):
+        if any(self._leaves_doubt(failure, now) for failure in recent.values()):
             return ContactState.IN_DOUBT
         return ContactState.IN_CONTACT
 
+    def _leaves_doubt(self, failure: _Failure, now: float) -> bool:
+        """Return whether nothing has been heard for a moment since a failure."""
+        return failure.at <= now - DOUBT_SECONDS and failure.at >= self.heard_at
+
     @property
     def is_lost(self) -> bool:
         """Whether no engine seems to be reachable."""
@@ -122,6 +126,10 @@
         }
         self.log_change()
 
+    def record_data(self) -> None:
+        """Record bytes of a response that has begun before."""
+        self.heard_at = self._clock.monotonic()
+
     def record_failure(self, engine_id: str, is_connecting: bool) -> None:
         """Record that an engine didn't respond, or couldn't be connected to.
 
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -6,6 +6,7 @@
 from dotterelpitch.routing.crash_detector import (
     MAX_ATTEMPT_AGE_SECONDS,
     READ_ORDER_SECONDS,
+    SILENCE_OBJECTIVE_FRACTION,
     SILENCE_SECONDS,
     START_SECONDS,
     CrashDetector,
@@ -244,3 +245,20 @@
         detector.engine_ended(engine(engine_id))
     assert suspects.verdict("bad") is BANNED
     assert suspects.verdict("beside") is ALONE
+
+
+# Guards against: a request that may take long has its engine asked for a sign of life
+# before it could have responded.
+@pytest.mark.parametrize(
+    ("objective_s", "after_s", "is_silent"),
+    [
+        (0.1, SILENCE_SECONDS - 0.1, False),
+        (0.1, SILENCE_SECONDS + 0.1, True),
+        (1.5, SILENCE_SECONDS + 0.1, False),
+        (1.5, SILENCE_OBJECTIVE_FRACTION * 1.5 + 0.1, True),
+    ],
+)
+def test_when_an_engine_is_silent(clock, detector, objective_s, after_s, is_silent):
+    detector.attempt_sent(engine("e1"), "long", objective_s=objective_s)
+    clock.advance(after_s)
+    assert bool(detector.silent_engines()) == is_silent
