Learn how slow each engine is, from the responses at all VMs

Callers whose chat's usual engine is slow waited there although others had room: the load bound is the same for all engines. The load that engines of the new deployments report has a fourth figure, and counted as absent for it.

Change: EngineSpeeds keeps a decaying mean of how long each engine takes against what is usual for the route, merged over all VMs by digests that add up; the share of an engine that is surely slower lowers its bound and raises its score. Server-Load is read with three figures or more.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -18,6 +18,7 @@
 from dotterelpitch.gateway.digest_exchange import DigestExchange
 from dotterelpitch.gateway.engine_contact_exchange import EngineContactExchange
 from dotterelpitch.gateway.engine_contact_watcher import EngineContactWatcher
+from dotterelpitch.gateway.engine_speed_exchange import EngineSpeedExchange
 from dotterelpitch.gateway.engine_status_recorder import EngineStatusRecorder
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.forwarding import Forwarder
@@ -53,6 +54,7 @@
 from dotterelpitch.routing.engine_choice import EngineChooser
 from dotterelpitch.routing.engine_contact import EngineContact
 from dotterelpitch.routing.engine_pauses import EnginePauses
+from dotterelpitch.routing.engine_speeds import EngineSpeeds
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
@@ -98,9 +100,10 @@
             self._clock, cold_engines=self.state.cold_engines
         )
         self.stream_origins = StreamOrigins(self._clock)
+        self.engine_speeds = EngineSpeeds(self._clock)
         self.pool = ConnectionPool(self._clock)
         engine_tracker = self.engine_tracker
-        self.state.directory.on_restart = engine_tracker.record_engine_restart
+        self.state.directory.on_restart = self._record_restart
         engine_tracker.on_return = self._record_return
         self.engine_pauses = EnginePauses(self._clock)
         status_recorder = EngineStatusRecorder(
@@ -148,6 +151,7 @@
             self.concurrency_limiter,
             self.rate_limits.registry,
             self.contact,
+            self.engine_speeds,
         )
         forwarder = self._create_forwarder(status_recorder)
         body_memory = BodyMemory.for_vm(vm.memory_mb)
@@ -239,6 +243,7 @@
             stream_resumption,
             self.contact,
             self.state.directory,
+            self.engine_speeds,
         )
         return Forwarder(
             self._clock,
@@ -268,6 +273,7 @@
             CacheSources(self.state.directory, tracker.prompt_cache),
             self.rate_limits.limiter,
             self.engine_pauses,
+            self.engine_speeds,
         )
 
     def _create_peer_links(self) -> PeerLinks:
@@ -290,6 +296,7 @@
             EngineContactExchange(self._clock, self.contact),
             LeavingEngineExchange(self.state),
             rate_limits,
+            EngineSpeedExchange(self._clock, self._topology, self.engine_speeds),
             StreamOriginExchange(self._topology, self.stream_origins),
             # Last: whoever believes this history has been told of the streams.
             VersionHistoryExchange(self._clock, self.state),
@@ -341,6 +348,11 @@
         except TimeoutError:
             log_event(Event.STOP_CUT, requests=self.ingress.work.names())
 
+    def _record_restart(self, previous: Engine) -> None:
+        """Record that another run has replaced ``previous``, as the registry says."""
+        self.engine_tracker.record_engine_restart(previous)
+        self.engine_speeds.forget(previous.id)
+
     def _record_return(self, engine: Engine) -> None:
         """Take an engine that has restarted for cold; it may have no record yet."""
         listed = self.state.directory.engine_by_id.get(engine.id, engine)
@@ -360,6 +372,7 @@
             self.engine_tracker.retain(remembered_ids)
             self.rate_limits.retain(remembered_ids)
             self.engine_pauses.retain(remembered_ids)
+            self.engine_speeds.retain(remembered_ids)
 
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -29,6 +29,7 @@
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
 from dotterelpitch.routing.engine_choice import EngineChoice
 from dotterelpitch.routing.engine_contact import EngineContact
+from dotterelpitch.routing.engine_speeds import EngineSpeeds
 from dotterelpitch.routing.engines import EngineDirectory
 from dotterelpitch.routing.health import FailureKind
 from dotterelpitch.routing.route_table import CallKind
@@ -77,6 +78,7 @@
         stream_resumption: StreamResumption,
         contact: EngineContact,
         directory: EngineDirectory,
+        speeds: EngineSpeeds,
     ) -> None:
         self._clock = clock
         self._pool = pool
@@ -86,6 +88,7 @@
         self._stream_resumption = stream_resumption
         self._contact = contact
         self._directory = directory
+        self._speeds = speeds
         self._responses = ResponseForwarder(clock)
 
     async def run(
@@ -125,8 +128,9 @@
             self._status_recorder,
             self._stream_resumption,
             self._contact,
+            self._speeds,
             call,
-            engine,
+            choice,
             connection,
         )
         try:
--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -19,11 +19,16 @@
     LimitChange,
 )
 from dotterelpitch.routing.crash_detector import UnansweredAttempt
+from dotterelpitch.routing.engine_choice import ChoiceReason, EngineChoice
 from dotterelpitch.routing.engine_contact import EngineContact
+from dotterelpitch.routing.engine_speeds import EngineSpeeds
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.telemetry.events import Event, log_event
 from dotterelpitch.upstream.connection import EngineConnection
 
+# For these choices the engines of a service take equally long, but for their speed.
+_COMPARABLE_REASONS = {ChoiceReason.USUAL_ENGINE, ChoiceReason.LEAST_LOADED}
+
 
 @define
 class AttemptObserver(ResponseObserver):
@@ -38,14 +43,20 @@
     _status_recorder: EngineStatusRecorder
     _stream_resumption: StreamResumption
     _contact: EngineContact
+    _speeds: EngineSpeeds
     _call: Call
-    _engine: Engine
+    _choice: EngineChoice
     _connection: EngineConnection
     _request: InFlightRequest = field(init=False)
     _attempt: UnansweredAttempt = field(init=False)
     _report_end: Callable[[UnansweredAttempt], None] = field(init=False)
     _is_crowded: bool = field(default=True, init=False)
     _has_head: bool = field(default=False, init=False)
+    _has_output: bool = field(default=False, init=False)
+
+    @property
+    def _engine(self) -> Engine:
+        return self._choice.engine
 
     def __attrs_post_init__(self) -> None:
         self._report_end = partial(self._crash_watcher.attempt_ended, is_broken=False)
@@ -84,8 +95,19 @@
     def output_received(self) -> None:
         """Record that bytes for the caller have arrived."""
         self._crash_watcher.output_received(self._attempt)
+        if not self._has_output:
+            self._has_output = True
+            self._record_speed()
         self._concurrency_limiter.response_started(self._request, self._is_crowded)
 
+    def _record_speed(self) -> None:
+        """Record how long the engine took, unless it may have read the whole prompt."""
+        if self._choice.reason in _COMPARABLE_REASONS:
+            seconds = self._concurrency_limiter.seconds_since_sent(self._request)
+            route = self._call.route
+            route_key = f"{route.host}{route.path_prefix}"
+            self._speeds.record(self._engine.id, route_key, seconds)
+
     def stream_began(self) -> None:
         """Record that the engine has sent the first event of a stream."""
         self._stream_resumption.record(self._call, self._engine.version)
--- a/dotterelpitch/gateway/metrics.py
+++ b/dotterelpitch/gateway/metrics.py
@@ -12,6 +12,7 @@
 from dotterelpitch.protocol.traffic import traffic_totals
 from dotterelpitch.routing.concurrency_limiter import AdaptiveConcurrencyLimiter
 from dotterelpitch.routing.engine_contact import EngineContact
+from dotterelpitch.routing.engine_speeds import EngineSpeeds
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.health import EngineHealth
 from dotterelpitch.routing.rate_limit_registry import RateLimitRegistry
@@ -44,6 +45,7 @@
         concurrency_limiter: AdaptiveConcurrencyLimiter,
         rate_limits: RateLimitRegistry,
         contact: EngineContact,
+        speeds: EngineSpeeds,
     ) -> None:
         self._state = state
         self._loads = loads
@@ -53,6 +55,7 @@
         self._concurrency_limiter = concurrency_limiter
         self._rate_limits = rate_limits
         self._contact = contact
+        self._speeds = speeds
         self.events = _counter(
             "events", "Logged events, by event number and name.", "number", "name"
         )
@@ -151,6 +154,12 @@
                 "1 while no engine seems to be reachable from this VM, else 0.",
                 self._engines_unreached,
             ),
+            _gauge(
+                "engine_slowness",
+                "Factor by which an engine takes longer than the average one.",
+                self._engine_slowness,
+                "engine",
+            ),
             _gauge(
                 "cold_engines",
                 "Engines that are, or may be, cold and get few requests.",
@@ -245,6 +254,10 @@
     def _engines_unreached(self) -> Iterable[Sample]:
         return [((), int(self._contact.is_lost))]
 
+    def _engine_slowness(self) -> Iterable[Sample]:
+        slowness_by_id = self._speeds.slowness(self._speeds.known_ids())
+        return [((engine,), factor) for engine, factor in slowness_by_id.items()]
+
     def _cold_engines(self) -> Iterable[Sample]:
         return [((), len(self._state.cold_engines.cold_ids()))]
 
--- a/dotterelpitch/platform/engine_status.py
+++ b/dotterelpitch/platform/engine_status.py
@@ -19,11 +19,16 @@
 
 @frozen
 class ReportedLoad:
-    """The load that an engine reports, as numbers of requests and slots."""
+    """The load that an engine reports, as numbers of requests and slots.
+
+    ``slowdown`` is by which factor work takes longer there than usual at that moment;
+    None if it doesn't say.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
     @property
     def is_crowded(self) -> bool:
@@ -76,12 +81,18 @@
 
 
 def _decode_load(values: list[str]) -> ReportedLoad | None:
-    """Return the last load named, or None if it isn't three whole numbers."""
+    """Return the last load named, or None if it isn't at least three whole numbers.
+
+    Figures after the fourth are ignored, and a fourth one that isn't a number too.
+    """
+    figures = values[-1].split(",") if values else []
     try:
-        running, waiting, slots = map(int, values[-1].split(",") if values else ())
+        running, waiting, slots = map(int, figures[:3])
     except ValueError:
         return None
-    return ReportedLoad(running, waiting, slots)
+    slowdown_percent = _decode_number([f.strip() for f in figures[3:4]])
+    slowdown = slowdown_percent / 100.0 if slowdown_percent else None
+    return ReportedLoad(running, waiting, slots, slowdown)
 
 
 def _decode_number(values: list[str]) -> float | None:
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -24,7 +24,9 @@
 ENGINE_CONTACT_LINK_VERSION = 6
 # The first one whose gateways pass on which failure domains are evacuated.
 EVACUATIONS_LINK_VERSION = 7
-LINK_VERSION = EVACUATIONS_LINK_VERSION
+# The first one whose gateways understand EngineSpeedDigest.
+ENGINE_SPEEDS_LINK_VERSION = 8
+LINK_VERSION = ENGINE_SPEEDS_LINK_VERSION
 """The link version of this program."""
 
 
@@ -226,6 +228,26 @@
     reaches_engines: bool
 
 
+@frozen
+class EngineSpeed:
+    """How long an engine took, in ``count`` samples since the last digest.
+
+    ``log_sum_milli`` is the sum over the samples of the natural logarithm of the time
+    against the usual one, in thousandths.
+    """
+
+    engine: str
+    count: int
+    log_sum_milli: int
+
+
+@message(86)
+class EngineSpeedDigest:
+    """Samples of the engines' speeds that the receiver gets on no other link."""
+
+    engines: list[EngineSpeed] = field(factory=list)
+
+
 @message(77)
 class FleetList:
     """The gateways that the sender reports as running; replaces its previous list."""
--- a/dotterelpitch/routing/concurrency_limiter.py
+++ b/dotterelpitch/routing/concurrency_limiter.py
@@ -160,6 +160,10 @@
         """Record that an engine was too full to run a request."""
         self._add_sample(self._state(request.service), request, True, True)
 
+    def seconds_since_sent(self, request: InFlightRequest) -> float:
+        """Return how long ago a request was sent."""
+        return self._clock.monotonic() - request.sent_at
+
     def request_ended(self, request: InFlightRequest) -> None:
         """Count the end of a request at an engine, whatever its outcome."""
         request.is_sampled = True
--- a/dotterelpitch/routing/engine_choice.py
+++ b/dotterelpitch/routing/engine_choice.py
@@ -19,6 +19,7 @@
 from dotterelpitch.routing.domain_reachability import DomainReachability
 from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.engine_rate_limiter import EngineRateLimiter
+from dotterelpitch.routing.engine_speeds import EngineSpeeds
 from dotterelpitch.routing.engines import Engine, EngineDirectory
 from dotterelpitch.routing.error_rates import ErrorRates
 from dotterelpitch.routing.fleet_counts import EngineCountKind
@@ -124,6 +125,7 @@
     _cache_sources: CacheSources
     _rate_limiter: EngineRateLimiter
     _pauses: EnginePauses
+    _speeds: EngineSpeeds
     _random: random.Random = field(factory=random.Random)
     _table_by_ids: dict[tuple[str, ...], RankTable] = field(factory=dict)
 
@@ -239,9 +241,12 @@
 
         If health and reachability exclude every engine, only error rates count.
         """
-        error_share_by_id = self._error_rates.shares([engine.id for engine in engines])
+        engine_ids = [engine.id for engine in engines]
+        error_share_by_id = self._error_rates.shares(engine_ids)
+        speed_share_by_id = self._speeds.shares(engine_ids)
         share_by_id = {
             engine.id: error_share_by_id[engine.id]
+            * speed_share_by_id[engine.id]
             * self._health_share(engine, may_probe)
             * self._pauses.share(engine)
             for engine in engines
--- a/dotterelpitch/routing/engine_pauses.py
+++ b/dotterelpitch/routing/engine_pauses.py
@@ -53,10 +53,14 @@
 
     def is_paused(self, engine: Engine) -> bool:
         """Return whether an engine wants no request now."""
+        if not self._until_by_run:  # Asked for each engine in each choice.
+            return False
         return self._until(engine) > self._clock.monotonic()
 
     def share(self, engine: Engine) -> float:
         """Return the share of its normal traffic that an engine may get, 0 to 1."""
+        if not self._until_by_run:
+            return 1.0
         elapsed_s = self._clock.monotonic() - self._until(engine)
         if elapsed_s < 0.0:
             return 0.0
@@ -81,6 +85,4 @@
                 del self._until_by_run[run]
 
     def _until(self, engine: Engine) -> float:
-        if not self._until_by_run:  # Asked for each engine in each choice.
-            return float("-inf")
         return self._until_by_run.get(engine.run, float("-inf"))
--- a/tests/harness/simulated_gateways.py
+++ b/tests/harness/simulated_gateways.py
@@ -9,6 +9,7 @@
 
 from dotterelpitch.clock import ManualClock
 from dotterelpitch.gateway.digest_exchange import DigestExchange
+from dotterelpitch.gateway.engine_speed_exchange import EngineSpeedExchange
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.leaving_engine_exchange import LeavingEngineExchange
 from dotterelpitch.gateway.link import Link, LinkTable
@@ -20,6 +21,7 @@
 from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
 from dotterelpitch.gateway.version_history_exchange import VersionHistoryExchange
 from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
+from dotterelpitch.routing.engine_speeds import EngineSpeeds
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.share_holders import ShareHolders
@@ -71,9 +73,11 @@
             self.clock, self.state, self.topology, self.fleet, self.rate_limits
         )
         self.stream_origins = StreamOrigins(self.clock)
+        self.speeds = EngineSpeeds(self.clock)
         self.exchanges = [
             LeavingEngineExchange(self.state),
             self.rate_limit_exchange,
+            EngineSpeedExchange(self.clock, self.topology, self.speeds),
             StreamOriginExchange(self.topology, self.stream_origins),
             VersionHistoryExchange(self.clock, self.state),
         ]
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -15,6 +15,7 @@
 from dotterelpitch.routing.domain_reachability import DomainReachability
 from dotterelpitch.routing.engine_choice import ChoiceReason, EngineChooser
 from dotterelpitch.routing.engine_pauses import EnginePauses
+from dotterelpitch.routing.engine_speeds import EngineSpeeds
 from dotterelpitch.routing.engines import Engine, EngineDirectory
 from dotterelpitch.routing.error_rates import ErrorRates
 from dotterelpitch.routing.fleet_loads import FleetLoads
@@ -41,6 +42,7 @@
         self.reachability = DomainReachability(self.clock, "a")
         self.cache_index = PromptCacheIndex(self.clock)
         self.pauses = EnginePauses(self.clock)
+        self.speeds = EngineSpeeds(self.clock)
         self.chooser = EngineChooser(
             self.directory,
             self.loads,
@@ -50,6 +52,7 @@
             CacheSources(self.directory, self.cache_index),
             FleetRateLimits(self.clock).limiter,
             self.pauses,
+            self.speeds,
             random.Random(7),
         )
         for n in range(engines):
--- a/tests/test_rate_limit_fleet.py
+++ b/tests/test_rate_limit_fleet.py
@@ -10,6 +10,7 @@
 from dotterelpitch.routing.cache_sources import CacheSources
 from dotterelpitch.routing.engine_choice import ChoiceReason, EngineChooser
 from dotterelpitch.routing.engine_pauses import EnginePauses
+from dotterelpitch.routing.engine_speeds import EngineSpeeds
 from dotterelpitch.routing.engines import Engine
 from tests.harness.rate_drill import (
     RATE_FACTOR,
@@ -122,6 +123,7 @@
                 CacheSources(directory, tracker.prompt_cache),
                 gateway.rate_limits.limiter,
                 EnginePauses(gateway.clock),
+                EngineSpeeds(gateway.clock),
                 random.Random(len(self._chooser_by_gateway)),
             )
             self._chooser_by_gateway[id(gateway)] = chooser
