Let client accounts share the room of an overloaded service

Callers of an account that sends as ever were refused as often as those of one that sends many times its usual: under overload only the priority counted.

Change: within what a priority may use, each account that asks has an equal share of the requests in flight; what it hasn't needed in the last 3 s others may borrow.

Per VM only; shares over the fleet are not built.

--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -62,7 +62,7 @@
         self._report_end = partial(self._crash_watcher.attempt_ended, is_broken=False)
         route = self._call.route
         self._request = self._concurrency_limiter.request_started(
-            self._call.service, route.objective_s
+            self._call.service, route.objective_s, self._call.account_name
         )
         self._attempt = self._crash_watcher.attempt_sent(
             self._engine,
--- a/dotterelpitch/gateway/call_rules.py
+++ b/dotterelpitch/gateway/call_rules.py
@@ -118,7 +118,7 @@
     _limiter: AdaptiveConcurrencyLimiter
 
     def forbids(self, call: Call, progress: CallProgress) -> bool:
-        return not self._limiter.admits(call.service, call.priority)
+        return not self._limiter.admits(call.service, call.priority, call.account_name)
 
 
 @define
--- a/dotterelpitch/routing/concurrency_limiter.py
+++ b/dotterelpitch/routing/concurrency_limiter.py
@@ -4,7 +4,8 @@
 most of its requests late, at engines that report too many requests, lowers its
 limit on requests in flight and refuses the rest at once, less urgent ones first.
 It raises the limit again as soon as requests are in time. Each VM uses only its
-own requests: all VMs see the same engines, so their limits change alike.
+own requests: all VMs see the same engines, so their limits change alike. Within what a
+priority may use, client accounts share.
 """
 
 import heapq
@@ -15,6 +16,7 @@
 from attrs import define, field, frozen
 
 from dotterelpitch.clock import Clock
+from dotterelpitch.routing.account_shares import AccountShares
 
 # Only samples taken within this time are used to adjust a limit.
 SAMPLE_WINDOW_SECONDS = 1.0
@@ -73,6 +75,7 @@
     service: str
     sent_at: float
     late_at: float
+    account: str = ""
     is_sampled: bool = False
 
 
@@ -86,6 +89,7 @@
 @define
 class _ServiceState:
     name: str
+    shares: AccountShares
     in_flight: int = 0
     limit: float | None = None
     changed_at: float = float("-inf")
@@ -117,19 +121,23 @@
     _state_by_service: dict[str, _ServiceState] = field(factory=dict)
     _sequence: Iterator[int] = field(factory=itertools.count)
 
-    def admits(self, service: str, priority: int) -> bool:
+    def admits(self, service: str, priority: int, account: str = "") -> bool:
         """Return whether one more request of ``service`` may be sent.
 
-        Priority 0 is the most urgent.
+        Priority 0 is the most urgent. While a limit is in force, an account with more
+        than its share gets what the others leave.
         """
         state = self._state(service)
         self._sample_overdue(state)
         if state.limit is None:
             return True
         fraction = max(MIN_PRIORITY_FRACTION, 1.0 - PRIORITY_FRACTION_STEP * priority)
-        return state.in_flight < max(MIN_LIMIT, state.limit * fraction)
+        limit = max(MIN_LIMIT, state.limit * fraction)
+        return state.in_flight < limit and state.shares.admits(account, limit)
 
-    def request_started(self, service: str, objective_s: float) -> InFlightRequest:
+    def request_started(
+        self, service: str, objective_s: float, account: str = ""
+    ) -> InFlightRequest:
         """Count a request that is sent to an engine, and return its record.
 
         ``objective_s`` is the time in seconds in which the response should start.
@@ -137,9 +145,9 @@
         state = self._state(service)
         state.in_flight += 1
         now = self._clock.monotonic()
-        request = InFlightRequest(
-            service, now, now + LATE_OBJECTIVE_FRACTION * objective_s
-        )
+        late_at = now + LATE_OBJECTIVE_FRACTION * objective_s
+        request = InFlightRequest(service, now, late_at, account)
+        state.shares.started(account)
         heapq.heappush(state.pending, (request.late_at, next(self._sequence), request))
         return request
 
@@ -167,7 +175,9 @@
     def request_ended(self, request: InFlightRequest) -> None:
         """Count the end of a request at an engine, whatever its outcome."""
         request.is_sampled = True
-        self._state(request.service).in_flight -= 1
+        state = self._state(request.service)
+        state.in_flight -= 1
+        state.shares.ended(request.account)
 
     def active_limits(self) -> Iterator[tuple[str, float]]:
         """Yield the name and limit of each service whose limit is in force."""
@@ -237,7 +247,8 @@
     def _state(self, name: str) -> _ServiceState:
         state = self._state_by_service.get(name)
         if state is None:
-            state = self._state_by_service[name] = _ServiceState(name)
+            state = _ServiceState(name, AccountShares(self._clock))
+            self._state_by_service[name] = state
         return state
 
 
--- a/tests/test_call_rules.py
+++ b/tests/test_call_rules.py
@@ -31,6 +31,7 @@
         request_id="r1",
         service="chat",
         priority=0,
+        account_name="packers",
         fingerprint="f",
         prompt_parts=("p", "own"),
         deadline=CLOCK.monotonic() + left_s,
