Let accounts below their share go a little beyond the limit

Change: an account below its share is admitted up to a quarter beyond the limit, and so much less is kept free for it.

--- a/dotterelpitch/routing/account_shares.py
+++ b/dotterelpitch/routing/account_shares.py
@@ -12,7 +12,9 @@
 # An account that hasn't asked for so long needs no room.
 ACTIVE_SECONDS = 2.0
 # What an account needs is the most that it has had or wanted in flight in this time.
-NEED_SECONDS = 3.0
+NEED_SECONDS = 1.0
+# Accounts below their share may exceed the limit by this share of it.
+OVERSHOOT_SHARE = 0.25
 
 
 @define
@@ -43,8 +45,8 @@
     ...     shares.started("busy")
     >>> shares.admits("busy", limit=6.0), shares.admits("calm", limit=6.0)
     (True, True)
-    >>> shares.admits("busy", limit=5.0)
-    False
+    >>> shares.admits("busy", limit=4.0), shares.admits("calm", limit=4.0)
+    (False, True)
     """
 
     _clock: Clock
@@ -53,21 +55,23 @@
     def admits(self, account: str, limit: float) -> bool:
         """Return whether an account may have one more request in flight.
 
-        ``limit`` bounds the requests in flight of all accounts together.
+        ``limit`` bounds the requests in flight of all accounts together. One with less
+        than its share may go beyond it a little, until borrowed room is free.
         """
         now = self._clock.monotonic()
         use = self._use(account)
         use.ask(now)
         active = self._active(now)
         fair = limit / len(active)
-        if use.in_flight + 1 <= fair:
-            return True
+        overshoot = int(OVERSHOOT_SHARE * limit)
+        if use.in_flight < fair:
+            return self.in_flight < limit + overshoot
         reserved = sum(
             max(0.0, min(fair, other.need) - other.in_flight)
             for name, other in active.items()
             if name != account
         )
-        return self.in_flight + 1 <= limit - reserved
+        return self.in_flight < limit - max(0.0, reserved - overshoot)
 
     @property
     def in_flight(self) -> int:
--- a/dotterelpitch/routing/concurrency_limiter.py
+++ b/dotterelpitch/routing/concurrency_limiter.py
@@ -133,7 +133,7 @@
             return True
         fraction = max(MIN_PRIORITY_FRACTION, 1.0 - PRIORITY_FRACTION_STEP * priority)
         limit = max(MIN_LIMIT, state.limit * fraction)
-        return state.in_flight < limit and state.shares.admits(account, limit)
+        return state.shares.admits(account, limit)
 
     def request_started(
         self, service: str, objective_s: float, account: str = ""
