Give the digest of engine speeds a message number of its own

No gateway started since: its EngineSpeedDigest took number 86, which ForwardCall has, and the module refuses the second one when it is loaded.

--- /dev/null
+++ b/dotterelpitch/gateway/caller_protocol.py
@@ -0,0 +1,153 @@
+"""Connections of callers, with bounds on what they make the process hold and do."""
+
+import asyncio
+import socket
+from typing import Any
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from dotterelpitch.clock import Clock
+from dotterelpitch.gateway.intake_pacer import IntakePacer, PacedInput, is_costly
+
+# Read at once from a connection; in one turn of the event loop many may be read.
+READ_BYTES = 16 * 1024
+# Held by the kernel for each connection until it is read.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+# Parsed at once of input that is costly to parse.
+SLICE_BYTES = 2 * 1024
+# What a connection takes at most, with its buffers, beside the bodies.
+CONNECTION_BYTES = 64 * 1024
+CONNECTION_MEMORY_SHARE = 0.25
+MIN_CONNECTIONS = 64
+BYTES_PER_MB = 1024 * 1024
+
+
+def max_connections(memory_mb: int) -> int:
+    """Return how many connections of callers a VM with this memory can hold."""
+    share = CONNECTION_MEMORY_SHARE * memory_mb * BYTES_PER_MB
+    return max(MIN_CONNECTIONS, int(share / CONNECTION_BYTES))
+
+
+class CallerProtocol(RequestHandler, PacedInput):
+    """A connection of a caller.
+
+    Input that is costly to parse goes through the pacer; meanwhile nothing more is read.
+    After ``discard_input`` all further input is dropped unparsed. ``head_since`` is
+    since when a request's head is incomplete, a time of the monotonic clock, or None.
+    """
+
+    def __init__(self, server: "CallerServer", **settings: Any) -> None:
+        super().__init__(server, **settings)
+        self._server = server
+        self._held = bytearray()
+        self._is_discarding = False
+        self.head_since: float | None = None
+        self.active_at = server.clock.monotonic()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound what is read at once, and make room for the connection."""
+        transport.max_size = READ_BYTES
+        super().connection_made(transport)
+        self._server.make_room()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse input, at once if that is cheap."""
+        if self._is_discarding:
+            return
+        self.active_at = self._server.clock.monotonic()
+        if not self._held and not is_costly(data):
+            self._parse(data)
+            return
+        if not self._held:
+            self._server.pacer.add(self)
+        self._held += data
+        self._pause_transport_reading()
+
+    def feed_slice(self) -> bool:
+        """Parse a slice of the input that is held back; return whether some is left."""
+        if self._is_discarding or self.transport is None:
+            self._held.clear()
+            return False
+        if not self._reading_paused and not self._buffer_paused:
+            data = bytes(self._held[:SLICE_BYTES])
+            del self._held[:SLICE_BYTES]
+            self._parse(data)
+        if self._held:
+            return True
+        self._resume_transport_reading()
+        return False
+
+    def discard_input(self) -> None:
+        """Drop all further input; the connection is to be closed."""
+        self._is_discarding = True
+        self._held.clear()
+        self._resume_transport_reading()
+
+    @property
+    def is_in_request(self) -> bool:
+        """Whether a request is being handled."""
+        return self._request_in_progress
+
+    def _parse(self, data: bytes) -> None:
+        super().data_received(data)
+        if self._messages or self._request_in_progress:
+            self.head_since = None
+        elif data and self.head_since is None:
+            self.head_since = self._server.clock.monotonic()
+
+    def _resume_transport_reading(self) -> None:
+        """Read again, unless input is held back or a buffer is full."""
+        is_full = self._reading_paused or self._buffer_paused
+        if not self._held and (self._is_discarding or not is_full):
+            super()._resume_transport_reading()
+
+
+class CallerServer(web.Server):
+    """Accepts connections of callers, up to a number that fits in memory.
+
+    Beyond ``most`` connections the one goes first that has had no request in progress
+    for longest; if all have one, the newest goes.
+    """
+
+    def __init__(
+        self, handler: Any, clock: Clock, pacer: IntakePacer, most: int, **settings: Any
+    ) -> None:
+        super().__init__(handler, **settings)
+        self.clock = clock
+        self.pacer = pacer
+        self._most = most
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return CallerProtocol(self, loop=self._loop, **self._kwargs)
+
+    def make_room(self) -> None:
+        """Close a connection if there are too many."""
+        connections = self.connections
+        if len(connections) <= self._most:
+            return
+        idle = [c for c in connections if not c.is_in_request]
+        victim = min(idle, key=lambda c: c.active_at) if idle else connections[-1]
+        abort(victim)
+
+
+def abort(connection: RequestHandler) -> None:
+    """Reset a connection at once."""
+    if connection.transport is not None:
+        connection.transport.abort()
+
+
+def listening_socket(address: str) -> socket.socket:
+    """Return a socket bound to ``IP:port`` with a small receive buffer."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setblocking(False)
+    try:
+        sock.bind((host, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -241,7 +241,7 @@
     log_sum_milli: int
 
 
-@message(86)
+@message(89)
 class EngineSpeedDigest:
     """Samples of the engines' speeds that the receiver gets on no other link."""
 
