--- a/tests/harness/gateway_soak/checks.py
+++ b/tests/harness/gateway_soak/checks.py
@@ -42,6 +42,8 @@
 RETRY_WINDOW_SECONDS = 10.0
 # How long an engine may continue to work after its caller has disconnected.
 CANCEL_SECONDS = 0.5
+# How long a request may still reach a failure domain after its evacuation was written.
+EVACUATION_SECONDS = 2.0
 MIN_SERVED_SHARE = 0.95
 # The specification allows this many violations of some guarantees per day.
 MAX_TOLERATED_VIOLATIONS = 3
@@ -130,6 +132,21 @@
             yield f"{run.id} reached {run.engine} {late_s:.2f} s too late"
 
 
+def evacuated_domains_get_no_requests(history: History) -> Violations:
+    """No request reaches an evacuated failure domain after a few seconds."""
+    vm_by_id = {sent.id: sent.vm for sent in history.sent}
+    for span in history.evacuations:
+        for run in history.runs:
+            if run.domain != span.domain or not run.ran:
+                continue
+            is_late = span.began + EVACUATION_SECONDS < run.at < span.ended
+            if is_late and history.is_vm_fault_free(
+                vm_by_id[run.id], span.began, run.at
+            ):
+                late_s = run.at - span.began
+                yield f"{run.id} reached {run.engine} after {late_s:.2f} s"
+
+
 def attempts_are_bounded(history: History) -> Violations:
     """Requests run at no more engines than their route allows.
 
@@ -352,6 +369,7 @@
     runs_are_allowed,
     allowed_requests_are_not_denied,
     removed_engines_get_no_requests,
+    evacuated_domains_get_no_requests,
     attempts_are_bounded,
     retries_stay_within_budget,
     crashing_requests_stop,
--- a/tests/harness/gateway_soak/engine.py
+++ b/tests/harness/gateway_soak/engine.py
@@ -136,6 +136,7 @@
             exchange.target.endswith(f"/{content_id}")
             and exchange.body == request_body(content_id),
             time.monotonic(),
+            domain=self.domain,
         )
         self._history.runs.append(run)
         if exchange.header("Expect-Instance") != self.id:
--- a/tests/harness/gateway_soak/faults.py
+++ b/tests/harness/gateway_soak/faults.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from tests.harness.gateway_soak.engine import VERSIONS, SoakEngine
-from tests.harness.gateway_soak.fleet import DRAIN_SECONDS, SoakFleet, SoakVm
+from tests.harness.gateway_soak.fleet import DOMAINS, DRAIN_SECONDS, SoakFleet, SoakVm
 from tests.harness.gateway_soak.history import (
     ENGINES,
     PART_PREFIX,
@@ -14,6 +14,7 @@
     LimitSpan,
 )
 from tests.harness.gateway_soak.traffic import Traffic
+from tests.harness.hostile_clients import KINDS, attack_from_a_process
 from tests.harness.proxy import Direction
 from tests.harness.waiting import pause
 
@@ -23,6 +24,10 @@
 CRASH_INTERVAL_SECONDS = 0.4
 # Engines name a rate limit for so long; the bound holds after some seconds only.
 LIMIT_SECONDS = 8.0
+# A failure domain is evacuated for so long and more.
+EVACUATION_SECONDS = 3.0
+ATTACK_KINDS = 3
+ATTACKERS = 30
 # Engines want a pause for so long.
 PAUSE_SECONDS = (0.3, 2.5)
 FAILURE_MODES = ("errors", "lost", "cut", "extra", "slow")
@@ -73,6 +78,8 @@
             self.surge,
             self.cut_vms_from_engines,
             self.restore_store,
+            self.evacuate_domain,
+            self.attack_vm,
         ]
 
     async def kill_vm(self, seconds: float) -> None:
@@ -202,6 +209,28 @@
         self._fleet.write_records_again()
         span.ended = self._now()
 
+    async def evacuate_domain(self, seconds: float) -> None:
+        """Have a failure domain evacuated for a while."""
+        evacuated = {
+            span.domain
+            for span in self._fleet.history.evacuations
+            if span.ended == float("inf")
+        }
+        if evacuated:
+            return  # The others have to take what it had.
+        span = self._fleet.evacuate(self._random.choice(DOMAINS))
+        await pause(EVACUATION_SECONDS + seconds)
+        self._fleet.take_back(span)
+
+    async def attack_vm(self, seconds: float) -> None:
+        """Let clients that don't behave attack a gateway."""
+        vm = self._pick_vm()
+        if vm is None:
+            return
+        kinds = self._random.sample(KINDS, ATTACK_KINDS)
+        address = vm.gateway.caller_address
+        await attack_from_a_process(address, kinds, "/no/route", ATTACKERS, seconds)
+
     async def store_refuses(self, seconds: float) -> None:
         """Make the store answer every request with 503."""
         span = self._fleet.history.begin_fault("store_refuses", STORE)
--- a/tests/harness/gateway_soak/fleet.py
+++ b/tests/harness/gateway_soak/fleet.py
@@ -16,6 +16,7 @@
     BASE_KEY,
     ENGINES,
     ConfigVersion,
+    EvacuationSpan,
     History,
 )
 from tests.harness.platform_store import PlatformStore
@@ -182,9 +183,27 @@
         self._state_by_engine[engine.id] = state
         self.store.put(f"servers/{engine.id}", engine.store_record(state))
 
+    def evacuate(self, domain: str) -> EvacuationSpan:
+        """Ask that the engines of a failure domain get nothing."""
+        span = EvacuationSpan(domain, time.monotonic())
+        self.history.evacuations.append(span)
+        self.store.put(f"op/evacuate/{domain}", {})
+        return span
+
+    def take_back(self, span: EvacuationSpan) -> None:
+        """Take an evacuation back."""
+        span.ended = time.monotonic()
+        self.store.delete(f"op/evacuate/{span.domain}")
+
     def write_records_again(self) -> None:
-        """Write the config and the engines again, after the store has lost them."""
+        """Write what the store has lost again: config, engines, and evacuations."""
         self.store.put("op/config", self._config)
+        for span in self.history.evacuations:
+            if span.ended < float("inf"):
+                self.store.delete(f"op/evacuate/{span.domain}")
+        for span in self.history.evacuations:
+            if span.ended == float("inf"):
+                self.store.put(f"op/evacuate/{span.domain}", {})
         for engine_id, state in list(self._state_by_engine.items()):
             self.register_engine(self.engine_by_id[engine_id], state)
 
--- a/tests/harness/gateway_soak/history.py
+++ b/tests/harness/gateway_soak/history.py
@@ -72,6 +72,7 @@
     at: float
     ran: bool = True
     ended: float = 0.0
+    domain: str = ""
 
 
 @attrs.frozen
@@ -116,6 +117,15 @@
     pause_s: float | None = None
 
 
+@attrs.define
+class EvacuationSpan:
+    """The time in which a failure domain is to get nothing; monotonic times."""
+
+    domain: str
+    began: float
+    ended: float = float("inf")
+
+
 @attrs.define
 class FaultSpan:
     """The duration of a fault of a VM, the store, the engines, or the peer links.
@@ -165,6 +175,7 @@
     crash_arrivals: list[CrashArrival] = attrs.field(factory=list)
     limits: list[LimitSpan] = attrs.field(factory=list)
     notices: list[NoticeGiven] = attrs.field(factory=list)
+    evacuations: list[EvacuationSpan] = attrs.field(factory=list)
     banned_ids: list[str] = attrs.field(factory=list)
     final_served_share: float = 0.0
 
