--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -21,6 +21,8 @@
 class Process:
     """A child process and its captured log lines.
 
+    ``build`` is the checkout that it runs from at its next start.
+
     >>> router = Process("vm1-router", "dotterelpitch.router", {"vm_name": "vm1"})
     >>> await router.start()
     >>> await router.terminate()
@@ -43,6 +45,7 @@
         self._arguments = [*arguments, *_flag_arguments(flags)]
         self._child: asyncio.subprocess.Process | None = None
         self._collector: asyncio.Task | None = None
+        self.build = REPOSITORY
 
     def add_flag(self, name: str, value: Any) -> None:
         """Add a command-line flag for later starts."""
@@ -59,7 +62,8 @@
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
-            env=_child_environment(),
+            env={**_child_environment(), "PYTHONPATH": str(self.build)},
+            cwd=self.build,
             limit=MAX_LINE_BYTES,
         )
         log, other = self._child.stderr, self._child.stdout
