--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -14,7 +14,6 @@
 from dotterelpitch.gateway.body_memory import BodyMemory
 from dotterelpitch.gateway.cached_prompt_finder import CachedPromptFinder
 from dotterelpitch.gateway.call_rules import CallRules
-from dotterelpitch.gateway.config_loader import ConfigLoader
 from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.gateway.digest_exchange import DigestExchange
 from dotterelpitch.gateway.engine_contact_exchange import EngineContactExchange
@@ -172,8 +171,6 @@
             self._clock, vm.vm_name, vm.failure_domain
         )
         self._peer_links = self._create_peer_links()
-        self._config_loader = ConfigLoader(self._clock, self.state)
-        self.state.defer_config = self._config_loader.offer
         self._store: StoreClient | None = None
         self._settings_reloader = SettingsReloader(
             settings.settings, vm, self._apply_settings
@@ -214,7 +211,6 @@
                     keep_running("leaving", self.leaving_engine_checker.run)
                 ),
                 asyncio.create_task(keep_running("intake", listeners.pace)),
-                asyncio.create_task(keep_running("config", self._config_loader.run)),
                 asyncio.create_task(
                     keep_running("sweep", partial(self._sweep, listeners.callers))
                 ),
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -1,7 +1,7 @@
 """The state that a gateway builds from the store: config and engine directory."""
 
 import asyncio
-from collections.abc import Callable, Generator, Sequence
+from collections.abc import Sequence
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import PlatformError
@@ -41,8 +41,7 @@
     ``position`` is where in the store's history all changes are applied.
     ``changed`` is set, and replaced by a new event, on each new revision or config and
     by ``notify_peers``;
-    ``has_config`` is set with the first config. Later ones are passed to
-    ``defer_config``, if it is set, in place of being decoded at once.
+    ``has_config`` is set with the first config.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -53,7 +52,6 @@
         self.cold_engines = ColdEngines(clock, self._cold_limits)
         self.evacuations = Evacuations(clock, self._evacuate)
         self.lacks_evacuations = False
-        self.defer_config: Callable[[StoreRecord], None] | None = None
         self._config_decoder = ConfigDecoder()
         self.config: RoutingConfig | None = None
         self.has_config = asyncio.Event()
@@ -167,9 +165,6 @@
         Earlier configs are superseded and not decoded, since each is large.
         """
         configs = [record for record in records if record.key == CONFIG_KEY]
-        if configs and self.config is not None and self.defer_config is not None:
-            self.defer_config(configs[-1])
-            return
         for record in reversed(configs):
             if self._apply_config(record):
                 return
@@ -287,22 +282,10 @@
 
     def _apply_config(self, record: StoreRecord) -> bool:
         """Apply a config if it is newer; return whether the record is valid."""
-        steps = self.apply_config_in_steps(record)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as end:
-                return end.value
-
-    def apply_config_in_steps(self, record: StoreRecord) -> Generator[None, None, bool]:
-        """Apply a config if it is newer, and yield while it is decoded.
-
-        Returns whether the record is valid.
-        """
         if record.value is None:
             return False
         try:
-            config = yield from self._config_decoder.decode_in_steps(record.value)
+            config = self._config_decoder.decode(record.value)
         except PlatformError as error:
             log_event(Event.CONFIG_REFUSED, reason=str(error))
             return False
--- a/dotterelpitch/platform/config_record.py
+++ b/dotterelpitch/platform/config_record.py
@@ -1,6 +1,5 @@
 """Decodes the store's config record: routes, services, accounts, and limits."""
 
-from collections.abc import Generator
 from typing import Any
 
 from dotterelpitch.errors import PlatformError
@@ -30,8 +29,6 @@
 
 _DEFAULT_MAX_CONNECTIONS = 100
 
-ROUTES_PER_STEP = 32
-
 _RouteKey = tuple[str, str]
 
 
@@ -50,22 +47,8 @@
 
         Raises PlatformError when the value isn't a valid config.
         """
-        steps = self.decode_in_steps(value)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as end:
-                return end.value
-
-    def decode_in_steps(self, value: bytes) -> Generator[None, None, RoutingConfig]:
-        """Decode as ``decode`` does, and yield after every few routes."""
         content = decode_json(value)
-        yield
-        decoded = []
-        for number, table in enumerate(read_field(content, "routes", list), start=1):
-            decoded.append(self._decode(table))
-            if number % ROUTES_PER_STEP == 0:
-                yield
+        decoded = [self._decode(t) for t in read_field(content, "routes", list)]
         config = RoutingConfig(
             version=read_field(content, "version", int),
             routes=[route for _, route in decoded],
