Read the fields of records with less work

Fields that have exactly the expected type take one comparison, and a table that JSON gives is a dict.

--- a/dotterelpitch/platform/_fields.py
+++ b/dotterelpitch/platform/_fields.py
@@ -3,7 +3,6 @@
 import json
 import math
 import reprlib
-from collections.abc import Mapping
 from typing import Any, TypeVar
 
 from dotterelpitch.errors import PlatformError
@@ -66,14 +65,14 @@
     A bool is not accepted as a number. Raises PlatformError when a required field is
     missing or a value has the wrong type.
     """
-    if not isinstance(table, Mapping):
+    if not isinstance(table, dict):
         raise PlatformError(
             f"{name}: expected an object with this field, got {type(table).__name__}"
         )
     value = table.get(name, default)
     if value is _REQUIRED:
         raise PlatformError(f"{name}: missing required field")
-    if value is default:
+    if type(value) is expected or value is default:  # Nearly all fields.
         return value
     is_unexpected_bool = isinstance(value, bool) and expected is not bool
     if is_unexpected_bool or not isinstance(value, expected):
