--- a/dotterelpitch/routing/engine_speeds.py
+++ b/dotterelpitch/routing/engine_speeds.py
@@ -41,10 +41,6 @@
     count: int
     log_sum: float
 
-    def plus(self, other: "SpeedSamples") -> "SpeedSamples":
-        """Return both together."""
-        return SpeedSamples(self.count + other.count, self.log_sum + other.log_sum)
-
 
 @define
 class _DecayingMean:
--- a/dotterelpitch/routing/fleet_counts.py
+++ b/dotterelpitch/routing/fleet_counts.py
@@ -46,7 +46,25 @@
     priority: int
 
 
-CountKey = EngineCountKey | ServiceCountKey
+class SampleKind(StrEnum):
+    """What is counted of the times that an engine took.
+
+    COUNT are the samples, and LOG_SUM is the sum of their log ratios in thousandths.
+    """
+
+    COUNT = "count"
+    LOG_SUM = "log-sum"
+
+
+@frozen
+class SampleKey:
+    """A kind of count of the times that one engine took."""
+
+    engine_id: str
+    kind: SampleKind
+
+
+CountKey = EngineCountKey | ServiceCountKey | SampleKey
 
 
 @frozen
