Check a platform's configuration before it is sent

dotterelpitch check-config FILE [--in-force FILE] names each field that can't be read with its path, entries without effect, limits that contradict each other, and what changes of the one in force, with what that does to requests. It decodes as the gateway does; a kind of finding is one class and one row. ReportedLoad and StorePosition move out of platform/, which holds no decisions.

--- a/dotterelpitch/cli/__main__.py
+++ b/dotterelpitch/cli/__main__.py
@@ -1,9 +1,11 @@
 """Entry point of the ``dotterelpitch`` command."""
 
 from dotterelpitch.cli.check import check
+from dotterelpitch.cli.check_config import check_config
 from dotterelpitch.cli.fleet_commands import drain, events, explain, status
 from dotterelpitch.cli.program import Command, run_commands
 from dotterelpitch.cli.settings import (
+    CheckConfigSettings,
     CheckSettings,
     EventsSettings,
     OperatorSettings,
@@ -15,6 +17,12 @@
     "check": Command(
         "Check a service document (JSON or YAML).", CheckSettings, check, ("FILE",)
     ),
+    "check-config": Command(
+        "Check a platform's configuration before it is sent.",
+        CheckConfigSettings,
+        lambda settings, file: check_config(file, settings.in_force, settings.json),
+        ("FILE",),
+    ),
     "status": Command("Show all processes and engines.", OperatorSettings, status),
     "explain": Command(
         "Show why a request was routed to its engine.",
--- a/dotterelpitch/cli/program.py
+++ b/dotterelpitch/cli/program.py
@@ -60,6 +60,11 @@
         "dotterelpitch-gateway", "dotterelpitch.gateway.settings", "GatewaySettings"
     ),
     SettingsClass("dotterelpitch check", "dotterelpitch.cli.settings", "CheckSettings"),
+    SettingsClass(
+        "dotterelpitch check-config",
+        "dotterelpitch.cli.settings",
+        "CheckConfigSettings",
+    ),
     SettingsClass("dotterelpitch trace", "dotterelpitch.cli.settings", "TraceSettings"),
     SettingsClass(
         "dotterelpitch status, explain, drain",
--- a/dotterelpitch/cli/settings.py
+++ b/dotterelpitch/cli/settings.py
@@ -23,6 +23,14 @@
     json: bool = setting("print JSON instead of text", False)
 
 
+@frozen
+class CheckConfigSettings:
+    """Settings of ``check-config``."""
+
+    in_force: str = setting("file with the configuration that is in force", "")
+    json: bool = setting("print JSON instead of text", False)
+
+
 @frozen
 class TraceSettings:
     """Settings of ``trace``."""
--- a/dotterelpitch/gateway/digest_exchange.py
+++ b/dotterelpitch/gateway/digest_exchange.py
@@ -10,7 +10,6 @@
 from dotterelpitch.gateway.link_topology import LinkTopology, ReportScope
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.state import GatewayState
-from dotterelpitch.platform.store import StorePosition
 from dotterelpitch.protocol.gateway_messages import (
     EVACUATIONS_LINK_VERSION,
     STORE_ERA_LINK_VERSION,
@@ -21,6 +20,7 @@
 )
 from dotterelpitch.routing.crash_history import Clearance, Crash
 from dotterelpitch.routing.fleet_loads import FleetLoads
+from dotterelpitch.store_position import StorePosition
 from dotterelpitch.telemetry.events import Event, log_event
 
 # An engine that crashed longer ago may be back.
--- a/dotterelpitch/gateway/record_exchange.py
+++ b/dotterelpitch/gateway/record_exchange.py
@@ -10,7 +10,7 @@
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.platform.config_record import CONFIG_KEY
-from dotterelpitch.platform.store import StorePosition, StoreRecord, StoreResponse
+from dotterelpitch.platform.store import StoreRecord, StoreResponse
 from dotterelpitch.protocol.gateway_messages import (
     EVACUATIONS_LINK_VERSION,
     LINK_VERSION,
@@ -23,6 +23,7 @@
     StoredRecord,
 )
 from dotterelpitch.protocol.stream import Stream
+from dotterelpitch.store_position import StorePosition
 from dotterelpitch.telemetry.events import Event, log_event
 
 # A store reader normally receives a change from the store within this time; it fetches
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -13,12 +13,13 @@
     EVACUATION_PREFIX,
     decode_evacuated_domain,
 )
-from dotterelpitch.platform.store import StorePosition, StoreRecord, StoreResponse
+from dotterelpitch.platform.store import StoreRecord, StoreResponse
 from dotterelpitch.routing.cold_engines import ColdEngines, ColdLimits
 from dotterelpitch.routing.engines import Engine, EngineDirectory, EngineRun
 from dotterelpitch.routing.evacuations import Evacuations
 from dotterelpitch.routing.leaving_engines import LeavingEngines
 from dotterelpitch.routing.route_table import DEFAULT_HEALTH_PATH, RoutingConfig
+from dotterelpitch.store_position import StorePosition
 from dotterelpitch.telemetry.events import Event, log_event
 
 # Age reported to peers by a process that has never reached the store.
--- a/dotterelpitch/platform/config_record.py
+++ b/dotterelpitch/platform/config_record.py
@@ -72,6 +72,24 @@
         return table, _decode_route(table)
 
 
+def find_config_errors(value: bytes) -> list[str]:
+    """Return what keeps the value of a record from being a config, by path."""
+    try:
+        content = decode_json(value)
+        errors = []
+        for name, decode in _DECODE_BY_LIST.items():
+            for number, table in enumerate(read_field(content, name, list, [])):
+                try:
+                    decode(table)
+                except PlatformError as error:
+                    errors.append(f"{name}.{number}.{error}")
+        if not errors:
+            ConfigDecoder().decode(value)
+        return errors
+    except PlatformError as error:
+        return [str(error)]
+
+
 def _decode_route(table: Any) -> Route:
     return Route(
         name=read_field(table, "name", str, ""),
@@ -156,3 +174,10 @@
         read_seconds(table, "header_timeout_ms", default.header_timeout_s * 1000),
         read_seconds(table, "idle_timeout_ms", default.idle_timeout_s * 1000),
     )
+
+
+_DECODE_BY_LIST = {
+    "routes": _decode_route,
+    "services": lambda table: _decode_services([table]),
+    "tenants": lambda table: _decode_accounts([table]),
+}
--- a/dotterelpitch/platform/engine_status.py
+++ b/dotterelpitch/platform/engine_status.py
@@ -5,6 +5,8 @@
 
 from attrs import frozen
 
+from dotterelpitch.routing.reported_load import ReportedLoad
+
 _SERVER_LOAD = "server-load"
 _SERVER_LIMIT = "server-limit"
 _SERVER_LEAVING = "server-leaving"
@@ -17,25 +19,6 @@
 _DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
-@frozen
-class ReportedLoad:
-    """The load that an engine reports, as numbers of requests and slots.
-
-    ``slowdown`` is by which factor work takes longer there than usual at that moment;
-    None if it doesn't say.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    slowdown: float | None = None
-
-    @property
-    def is_crowded(self) -> bool:
-        """Whether requests are waiting or at least half of the slots are in use."""
-        return self.waiting > 0 or 2 * self.running >= self.slots
-
-
 @frozen
 class EngineStatus:
     """What an engine says of itself with a response; None is what it doesn't say.
--- a/dotterelpitch/platform/store.py
+++ b/dotterelpitch/platform/store.py
@@ -10,6 +10,7 @@
 
 from dotterelpitch.errors import PlatformError
 from dotterelpitch.platform._fields import read_field
+from dotterelpitch.store_position import StorePosition
 
 # The store responds to a watch at most this long after the requested wait.
 WATCH_GRACE_SECONDS = 1.0
@@ -34,21 +35,6 @@
     value: bytes | None
 
 
-@frozen(order=True)
-class StorePosition:
-    """A point in the history of the store; later ones are greater.
-
-    The store gives out revisions again when it is restored from an older copy, and
-    then raises its era. ``era`` is 0 for a store that names none.
-
-    >>> StorePosition(era=1, revision=90) < StorePosition(era=2, revision=70)
-    True
-    """
-
-    era: int = 0
-    revision: int = 0
-
-
 @frozen
 class StoreResponse:
     """Records, and where in the store's history a reader is after applying them."""
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -8,7 +8,7 @@
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.state import GatewayState
-from dotterelpitch.platform.store import StorePosition, StoreRecord, StoreResponse
+from dotterelpitch.platform.store import StoreRecord, StoreResponse
 from dotterelpitch.protocol.gateway_messages import (
     LINK_VERSION,
     STORE_ERA_LINK_VERSION,
@@ -20,6 +20,7 @@
     RecordBatchOfEra,
 )
 from dotterelpitch.routing.engines import REREGISTRATION_SECONDS
+from dotterelpitch.store_position import StorePosition
 from tests.harness.simulated_gateways import make_fleet
 from tests.harness.store_records import config_record, engine_record
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -22,7 +22,6 @@
     StreamResumption,
 )
 from dotterelpitch.platform.cache_list import decode_cache_list
-from dotterelpitch.platform.store import StorePosition
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.routing.stream_origins import (
@@ -35,6 +34,7 @@
     pack_hashes,
     unpack_hashes,
 )
+from dotterelpitch.store_position import StorePosition
 from tests.harness.simulated_gateways import make_fleet
 
 ORIGIN = StreamOrigin("chat", "v1")
