--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -100,7 +100,9 @@
             self._clock, cold_engines=self.state.cold_engines
         )
         self.stream_origins = StreamOrigins(self._clock)
-        self.engine_speeds = EngineSpeeds(self._clock)
+        self.engine_speeds = EngineSpeeds(
+            self._clock, is_learning=settings.learn_engine_speeds
+        )
         self.pool = ConnectionPool(self._clock)
         engine_tracker = self.engine_tracker
         self.state.directory.on_restart = self._record_restart
--- a/dotterelpitch/gateway/settings.py
+++ b/dotterelpitch/gateway/settings.py
@@ -37,6 +37,9 @@
         MAX_MESH_VMS,
         check_positive,
     )
+    learn_engine_speeds: bool = setting(
+        "send engines that take longer than others less, as all VMs see them", True
+    )
     metrics_port: int = setting(
         "port on which to serve /metrics at the VM's own address", 9464, check_positive
     )
--- a/dotterelpitch/routing/engine_speeds.py
+++ b/dotterelpitch/routing/engine_speeds.py
@@ -86,7 +86,8 @@
 class EngineSpeeds:
     """The estimated slowness of each engine, and the share of traffic that suits it.
 
-    ``on_sample`` is called with each sample of this VM, for the peers.
+    ``on_sample`` is called with each sample of this VM, for the peers. Unless
+    ``is_learning``, samples are ignored and all engines get all of their traffic.
 
     >>> from dotterelpitch.clock import ManualClock
     >>> clock = ManualClock(10.0)
@@ -101,6 +102,7 @@
 
     _clock: Clock
     on_sample: Callable[[str, SpeedSamples], None] = _ignore
+    is_learning: bool = True
     _mean_by_engine: dict[str, _DecayingMean] = field(factory=dict)
     _usual_by_route: dict[str, _DecayingMean] = field(factory=dict)
     _shares_by_first_id: dict[str, _Shares] = field(factory=dict)
@@ -111,6 +113,8 @@
         Only requests at their usual engine are to be recorded; others may have their
         whole prompt read first.
         """
+        if not self.is_learning:
+            return
         now = self._clock.monotonic()
         log_seconds = math.log(max(seconds, 1e-4))
         usual = self._usual_by_route.get(route)
@@ -127,6 +131,8 @@
 
     def merge(self, engine_id: str, samples: SpeedSamples) -> None:
         """Add samples of this VM or of another one."""
+        if not self.is_learning:
+            return
         mean = self._mean_by_engine.get(engine_id)
         if mean is None:
             mean = self._mean_by_engine[engine_id] = _DecayingMean(HALF_LIFE_SECONDS)
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -118,6 +118,15 @@
     assert sum(lowered) / len(lowered) < 0.1
 
 
+# Guards against: a setting that is off has an effect all the same.
+def test_nothing_is_learned_unless_it_is_set():
+    clock = ManualClock(10.0)
+    speeds = EngineSpeeds(clock, is_learning=False)
+    feed(speeds, clock, 5.0, {"e1": 5.0})
+    assert set(speeds.shares(ENGINES).values()) == {1.0}
+    assert speeds.known_ids() == []
+
+
 # Guards against: an engine that gets nothing is never tried again.
 def test_slow_engine_without_samples_is_tried_again():
     clock = ManualClock(10.0)
