Run status checks through one place, once for each engine and within a bound

The three watchers that ask engines for a sign of life start their checks through SharedChecks: who asks while the same engine is being asked joins that check, and a VM starts at most four a second and twelve at once.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -38,6 +38,7 @@
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.settings import GatewaySettings
 from dotterelpitch.gateway.settings_reload import SettingsReloader
+from dotterelpitch.gateway.shared_checks import SharedChecks
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.store_watcher import StoreWatcher
 from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
@@ -114,15 +115,17 @@
             self.engine_pauses,
             self.state.cold_engines,
         )
+        checks = SharedChecks(self._clock)
         self.crash_watcher = CrashWatcher(
             self._clock,
             self.state,
             engine_tracker,
+            run_check=checks.run,
             record_status=status_recorder.record_check,
             is_paused=self.engine_pauses.is_paused,
         )
         self.leaving_engine_checker = LeavingEngineChecker(
-            self._clock, self.state, status_recorder.record_check
+            self._clock, self.state, status_recorder.record_check, checks.run
         )
         directory = self.state.directory
         self.contact = EngineContact(
@@ -137,6 +140,7 @@
             engine_tracker.crash_detector,
             self.state.notify_peers,
             vm.failure_domain,
+            checks.run,
         )
         self._identity = Identity.create(vm.vm_name, "gateway", settings.cluster_key)
         self._fleet = PeerDirectory(self._clock, self._own_fleet_vm())
--- a/dotterelpitch/gateway/engine_contact_watcher.py
+++ b/dotterelpitch/gateway/engine_contact_watcher.py
@@ -118,7 +118,10 @@
             patience_s=0.0,
             timeout_s=CHECK_TIMEOUT_SECONDS,
         )
-        has_responded = await self._run_check(check) in _RESPONSES
+        result = await self._run_check(check)
+        has_responded = result in _RESPONSES
+        if result is CheckResult.NOT_STARTED:
+            return False
         if has_responded:
             self._contact.record_response(began)
         else:
--- a/dotterelpitch/upstream/engine_check.py
+++ b/dotterelpitch/upstream/engine_check.py
@@ -34,11 +34,12 @@
     is one after a connection attempt without an answer. REFUSED means that nothing
     listens, BROKEN that the connection ended without a response, and SILENT that
     there was no sign of life within the timeout. UNNEEDED means that the engine
-    accepted a connection and had given a sign of life elsewhere, and NOT_MADE that
-    the check itself failed.
+    accepted a connection and had given a sign of life elsewhere, NOT_MADE that the
+    check itself failed, and NOT_STARTED that there have been too many.
     """
 
     NOT_MADE = "not made"
+    NOT_STARTED = "not started"
 
     UNNEEDED = "unneeded"
     RESPONDED = "responded"
--- a/tests/test_leaving_engines.py
+++ b/tests/test_leaving_engines.py
@@ -74,7 +74,7 @@
 def test_word_counts_in_every_response_of_the_engine_itself(response_class, counts):
     state, clock = make_state(ENGINE)
     recorder = EngineStatusRecorder(
-        state, RateLimitRegistry(clock), EnginePauses(clock)
+        state, RateLimitRegistry(clock), EnginePauses(clock), state.cold_engines
     )
     recorder.record(ENGINE, response_class, LEAVES)
     assert usable_ids(state) == ([] if counts else ["e1"])
@@ -83,7 +83,7 @@
 def test_word_counts_when_the_engine_is_asked_for_a_sign_of_life():
     state, clock = make_state(ENGINE)
     recorder = EngineStatusRecorder(
-        state, RateLimitRegistry(clock), EnginePauses(clock)
+        state, RateLimitRegistry(clock), EnginePauses(clock), state.cold_engines
     )
     recorder.record_check(ENGINE, LEAVES)
     assert usable_ids(state) == []
@@ -161,7 +161,7 @@
         return CheckResult.RESPONDED if status else CheckResult.SILENT
 
     recorder = EngineStatusRecorder(
-        state, RateLimitRegistry(clock), EnginePauses(clock)
+        state, RateLimitRegistry(clock), EnginePauses(clock), state.cold_engines
     )
     checker = LeavingEngineChecker(clock, state, recorder.record_check, run_check)
     checker.ask_all()
