Don't look at blocked input all the time

A connection with requests sent ahead, whose next one can't be parsed before a response, kept the pacer turning without a pause while it waited. Found by reading.

--- a/dotterelpitch/gateway/intake_pacer.py
+++ b/dotterelpitch/gateway/intake_pacer.py
@@ -16,6 +16,9 @@
 CHEAP_LINES = 160
 # After each slice the others get this multiple of the time that it took.
 PAUSE_FACTOR = 4.0
+# A connection whose input can't be parsed yet, since a response is due first, is looked
+# at again after this time.
+MIN_PAUSE_SECONDS = 0.002
 
 
 def is_costly(data: bytes) -> bool:
@@ -63,4 +66,4 @@
             self._has_input.clear()
         took_s = self._clock.monotonic() - began
         factor = PAUSE_FACTOR if len(self._waiting) > 1 else 1.0
-        return factor * took_s
+        return max(MIN_PAUSE_SECONDS, factor * took_s)
--- a/tests/test_intake_pacer.py
+++ b/tests/test_intake_pacer.py
@@ -5,6 +5,7 @@
 from dotterelpitch.clock import ManualClock
 from dotterelpitch.gateway.intake_pacer import (
     CHEAP_LINES,
+    MIN_PAUSE_SECONDS,
     PAUSE_FACTOR,
     IntakePacer,
     PacedInput,
@@ -53,3 +54,18 @@
     pauses = [pacer.parse_next() for _ in range(3 * connections)]
     assert pauses == pytest.approx([factor * SLICE_SECONDS] * len(pauses))
     assert {connection.left for connection in inputs} == {7}
+
+
+class BlockedInput(PacedInput):
+    """A connection that can't be parsed before its last request is answered."""
+
+    def feed_slice(self):
+        return True
+
+
+# Guards against: a connection with requests sent ahead keeps the process busy while it
+# waits for their responses.
+def test_blocked_input_is_not_looked_at_all_the_time():
+    pacer = IntakePacer(ManualClock(10.0))
+    pacer.add(BlockedInput())
+    assert pacer.parse_next() == MIN_PAUSE_SECONDS
