Spend less on what callers and peers are sent

Of the causes that reading shows, two are mended: a timeout around each write of a stream, in place of which connections whose responses aren't read for 5 s are found once a second; and digests of engines' speeds to each of 15 peers twice a second, now at most 12 a second to all together.

--- a/dotterelpitch/gateway/aiohttp_response_writer.py
+++ b/dotterelpitch/gateway/aiohttp_response_writer.py
@@ -1,7 +1,6 @@
 """Writes responses through aiohttp."""
 
-import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from aiohttp import web
 from attrs import define, field
@@ -10,9 +9,6 @@
 from dotterelpitch.gateway.call import ResponseWriter
 from dotterelpitch.platform.headers import Headers
 
-# A caller that reads nothing for so long has its connection reset.
-WRITE_STALL_SECONDS = 5.0
-
 
 @define
 class AiohttpResponseWriter(ResponseWriter):
@@ -31,30 +27,18 @@
         await self._send_head(response)
 
     async def write(self, data: bytes) -> None:
-        await self._within_stall_limit(self._response.write(data))
+        await self._response.write(data)
 
     async def end(self) -> None:
         if self._is_stopping():
             self._response.force_close()
-        await self._within_stall_limit(self._response.write_eof())
+        await self._response.write_eof()
 
     async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         kept = [(n, v) for n, v in headers if n.lower() != "content-length"]
         response = web.Response(status=int(status), headers=kept, body=body)
         await self._send_head(response)
-        await self._within_stall_limit(response.write_eof())
-
-    async def _within_stall_limit(self, write: Awaitable[None]) -> None:
-        """Await a write, and reset the connection of a caller that doesn't read.
-
-        Raises ConnectionResetError then.
-        """
-        try:
-            async with asyncio.timeout(WRITE_STALL_SECONDS):
-                await write
-        except TimeoutError:
-            self.abort()
-            raise ConnectionResetError("the caller doesn't read") from None
+        await response.write_eof()
 
     def abort(self) -> None:
         if self._request.transport is not None:
--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -309,7 +309,9 @@
             EngineContactExchange(self._clock, self.contact),
             LeavingEngineExchange(self.state),
             rate_limits,
-            EngineSpeedExchange(self._clock, self._topology, self.engine_speeds),
+            EngineSpeedExchange(
+                self._clock, self._topology, self.engine_speeds, self.links.count
+            ),
             StreamOriginExchange(self._topology, self.stream_origins),
             # Last: whoever believes this history has been told of the streams.
             VersionHistoryExchange(self._clock, self.state),
@@ -379,6 +381,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
             limits = self.state.config.limits if self.state.config else CallerLimits()
             self.ingress.connections.close_idle(callers.connections, limits)
+            self.ingress.connections.reset_unread(callers.connections)
             self.pool.sweep()
             self._settings_reloader.check()
             remembered_ids = self.state.directory.remembered_ids()
--- a/dotterelpitch/gateway/caller_connections.py
+++ b/dotterelpitch/gateway/caller_connections.py
@@ -6,13 +6,16 @@
 from attrs import define, field
 
 from dotterelpitch.clock import Clock
-from dotterelpitch.gateway.caller_protocol import CallerProtocol
+from dotterelpitch.gateway.caller_protocol import CallerProtocol, abort
 from dotterelpitch.routing.route_table import CallerLimits
 
+# A caller that reads nothing of a response for so long has its connection reset.
+MAX_UNREAD_SECONDS = 5.0
+
 
 @define
 class CallerConnections:
-    """Closes connections on which no request has been in progress for too long.
+    """Closes connections on which no request, or no reading, is in progress for long.
 
     A request begins once its head is complete. Before its first request, and while a
     head is incomplete, a connection is bounded by the header timeout; otherwise by the
@@ -61,6 +64,21 @@
             connection.force_close()
         return len(set(expired))
 
+    def reset_unread(self, open_connections: Iterable[CallerProtocol]) -> int:
+        """Reset the connections whose responses aren't read; return their number.
+
+        A close would wait until what has been written is read.
+        """
+        oldest = self._clock.monotonic() - MAX_UNREAD_SECONDS
+        unread = [
+            connection
+            for connection in open_connections
+            if connection.unread_since is not None and connection.unread_since < oldest
+        ]
+        for connection in unread:
+            abort(connection)
+        return len(unread)
+
     def close_all(self, open_connections: Iterable[CallerProtocol]) -> None:
         """Close idle connections now and busy ones after their response.
 
--- a/dotterelpitch/gateway/caller_protocol.py
+++ b/dotterelpitch/gateway/caller_protocol.py
@@ -34,7 +34,8 @@
 
     Input that is costly to parse goes through the pacer; reading stops meanwhile.
     After ``discard_input`` all further input is dropped unparsed. ``head_since`` is
-    since when a request's head is incomplete, a time of the monotonic clock, or None.
+    since when a request's head is incomplete, and ``unread_since`` since when what has
+    been written isn't read; times of the monotonic clock, or None.
     """
 
     def __init__(self, server: "CallerServer", **settings: Any) -> None:
@@ -43,6 +44,7 @@
         self._held = bytearray()
         self._is_discarding = False
         self.head_since: float | None = None
+        self.unread_since: float | None = None
         self.active_at = server.clock.monotonic()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -64,6 +66,16 @@
         self._held += data
         self._pause_transport_reading()
 
+    def pause_writing(self) -> None:
+        """Note that the caller doesn't read, or not as fast as it is written."""
+        self.unread_since = self._server.clock.monotonic()
+        super().pause_writing()
+
+    def resume_writing(self) -> None:
+        """Note that the caller has read on."""
+        self.unread_since = None
+        super().resume_writing()
+
     def feed_slice(self) -> bool:
         """Parse a slice of the input that is held back; return whether some is left."""
         if self._is_discarding or self.transport is None:
--- a/dotterelpitch/gateway/engine_speed_exchange.py
+++ b/dotterelpitch/gateway/engine_speed_exchange.py
@@ -1,6 +1,6 @@
 """Tells peers how long engines took, so that all VMs estimate their speeds together."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.link import Link
@@ -20,8 +20,10 @@
     SampleKind,
 )
 
-# A peer is told at this interval.
-TELL_INTERVAL_SECONDS = 0.5
+# A peer is told at this interval, or at a longer one, so that all peers together aren't
+# sent more messages than this.
+MIN_TELL_INTERVAL_SECONDS = 0.5
+MESSAGES_PER_SECOND = 12.0
 MILLI = 1000.0
 MAX_SAMPLES = 100_000
 
@@ -36,18 +38,26 @@
     link_version = ENGINE_SPEEDS_LINK_VERSION
 
     def __init__(
-        self, clock: Clock, topology: LinkTopology, speeds: EngineSpeeds
+        self,
+        clock: Clock,
+        topology: LinkTopology,
+        speeds: EngineSpeeds,
+        count_links: Callable[[], int],
     ) -> None:
         self._clock = clock
         self._topology = topology
         self._speeds = speeds
+        self._count_links = count_links
         self._counts = FleetCounts(clock)
         speeds.on_sample = self._add_own
 
     def make(self, link: Link) -> EngineSpeedDigest | None:
         """Return the samples that a peer lacks, summed up by engine."""
         now = self._clock.monotonic()
-        if now - link.speeds_sent_at < TELL_INTERVAL_SECONDS:
+        interval_s = max(
+            MIN_TELL_INTERVAL_SECONDS, self._count_links() / MESSAGES_PER_SECOND
+        )
+        if now - link.speeds_sent_at < interval_s:
             return None
         total = self._counts.since(
             link.speeds_sent, lambda source: self._topology.passes_on(link, source)
--- a/dotterelpitch/gateway/link.py
+++ b/dotterelpitch/gateway/link.py
@@ -78,6 +78,10 @@
         """Return the links to all peers."""
         return [link for links in self._links_by_peer.values() for link in links]
 
+    def count(self) -> int:
+        """Return how many peers have a link."""
+        return len(self._links_by_peer)
+
     def to(self, peer: str) -> Link | None:
         """Return the oldest link to a peer, or None."""
         links = self._links_by_peer.get(peer)
--- a/tests/harness/simulated_gateways.py
+++ b/tests/harness/simulated_gateways.py
@@ -77,7 +77,9 @@
         self.exchanges = [
             LeavingEngineExchange(self.state),
             self.rate_limit_exchange,
-            EngineSpeedExchange(self.clock, self.topology, self.speeds),
+            EngineSpeedExchange(
+                self.clock, self.topology, self.speeds, self.links.count
+            ),
             StreamOriginExchange(self.topology, self.stream_origins),
             VersionHistoryExchange(self.clock, self.state),
         ]
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -14,7 +14,7 @@
 
 from dotterelpitch.clock import ManualClock
 from dotterelpitch.gateway.engine_speed_exchange import (
-    TELL_INTERVAL_SECONDS,
+    MIN_TELL_INTERVAL_SECONDS,
     EngineSpeedExchange,
 )
 from dotterelpitch.platform.engine_status import decode_engine_status
@@ -195,14 +195,14 @@
 def test_samples_are_told_once(link_version, told):
     clock = ManualClock(10.0)
     speeds = EngineSpeeds(clock)
-    exchange = EngineSpeedExchange(clock, TopologyStub(), speeds)
+    exchange = EngineSpeedExchange(clock, TopologyStub(), speeds, lambda: 1)
     for _ in range(10):
         speeds.record("e1", "chat", 0.1)
     link = LinkStub(FleetVm("vm2", "a", "10.0.0.2:1", 10, link_version))
     messages = []
     for _ in range(4):
         messages.append(exchange.message_for(link))
-        clock.advance(TELL_INTERVAL_SECONDS)
+        clock.advance(MIN_TELL_INTERVAL_SECONDS)
     assert sum(message is not None for message in messages) == told
 
 
@@ -211,7 +211,7 @@
 def test_odd_samples_are_ignored(speed):
     clock = ManualClock(10.0)
     speeds = EngineSpeeds(clock)
-    exchange = EngineSpeedExchange(clock, TopologyStub(), speeds)
+    exchange = EngineSpeedExchange(clock, TopologyStub(), speeds, lambda: 1)
     exchange.apply(LinkStub(FleetVm("vm2", "a", "a:1", 10)), EngineSpeedDigest([speed]))
     assert speeds.known_ids() == []
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -12,6 +12,7 @@
 import psutil
 import pytest
 
+from dotterelpitch.gateway.caller_connections import MAX_UNREAD_SECONDS
 from tests.harness.gateway_fleet import (
     ROUTES,
     GatewayFleet,
@@ -222,3 +223,30 @@
         assert 2.0 < time.monotonic() - began < 5.0
         assert attack.fleet.exchanges() == []
         assert ROUTES["unsafe"]["kind"] == "unsafe"
+
+
+RESPONSE_BYTES = 8 * MIB
+
+
+async def answer_at_length(exchange):
+    """Answer with a body that is larger than what the connections hold."""
+    exchange.write_head("200 OK", f"Content-Length: {RESPONSE_BYTES}")
+    exchange.writer.write(bytes(RESPONSE_BYTES))
+
+
+# Guards against: callers that read nothing of their response hold it, and its engine,
+# for as long as they like.
+async def test_response_that_is_not_read_is_given_up(tmp_path):
+    async with Attack(tmp_path) as attack:
+        for engine in attack.fleet.engines:
+            engine.behavior = answer_at_length
+        host, _, port = attack.gateway.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port), limit=1024)
+        writer.write(request_bytes("/safe/x"))
+        await asyncio.sleep(1.0)
+        assert (await attack.read_metrics())["caller_connections"] == 1
+        await asyncio.sleep(MAX_UNREAD_SECONDS + 2.0)
+        assert (await attack.read_metrics())["caller_connections"] == 0
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await reader.readexactly(RESPONSE_BYTES)
+        writer.close()
