--- a/dotterelpitch/gateway/engine_contact_watcher.py
+++ b/dotterelpitch/gateway/engine_contact_watcher.py
@@ -17,7 +17,7 @@
 CHECK_INTERVAL_SECONDS = 0.5
 CHECK_TIMEOUT_SECONDS = 0.25
 # A sound engine responds within this time; then a second one is asked as well.
-HEDGE_SECONDS = 0.1
+HEDGE_SECONDS = 0.05
 # Engines asked at a time; as many failures as make contact count as lost.
 ENGINES_ASKED = 2
 # With a request unanswered and nothing heard from any engine for this long, the path is
