Refuse a whole number too large for a float in the cold fields of a config

Found while reading the change: float() of such a number raised OverflowError, which isn't PlatformError, so the whole config wasn't applied; the new row of the test fails without this. Beside it, as before in what they do: idle connections and those with a head that doesn't end are found in one pass over the same connections, and the bytes of a megabyte are defined once.

--- a/dotterelpitch/gateway/caller_connections.py
+++ b/dotterelpitch/gateway/caller_connections.py
@@ -49,20 +49,16 @@
             connection: self._idle_since.get(connection, now)
             for connection in open_connections - self._busy
         }
+        oldest_head = now - limits.header_timeout_s
         expired = [
             connection
             for connection, since in self._idle_since.items()
             if now - since > self._idle_limit_s(connection, limits)
+            or (connection.head_since or now) < oldest_head
         ]
-        oldest_head = now - limits.header_timeout_s
-        expired += [
-            connection
-            for connection in open_connections - self._busy
-            if connection.head_since is not None and connection.head_since < oldest_head
-        ]
-        for connection in set(expired):
+        for connection in expired:
             connection.force_close()
-        return len(set(expired))
+        return len(expired)
 
     def reset_unread(self, open_connections: Iterable[CallerProtocol]) -> int:
         """Reset the connections whose responses aren't read; return their number.
--- a/dotterelpitch/gateway/caller_protocol.py
+++ b/dotterelpitch/gateway/caller_protocol.py
@@ -8,6 +8,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from dotterelpitch.clock import Clock
+from dotterelpitch.gateway.body_memory import BYTES_PER_MB
 from dotterelpitch.gateway.intake_pacer import IntakePacer, PacedInput, is_costly
 
 # Read at once from a connection; in one turn of the event loop many may be read.
@@ -20,7 +21,6 @@
 CONNECTION_BYTES = 64 * 1024
 CONNECTION_MEMORY_SHARE = 0.25
 MIN_CONNECTIONS = 64
-BYTES_PER_MB = 1024 * 1024
 
 
 def max_connections(memory_mb: int) -> int:
--- a/dotterelpitch/platform/_fields.py
+++ b/dotterelpitch/platform/_fields.py
@@ -1,7 +1,6 @@
 """Reads fields of decoded JSON and checks their types."""
 
 import json
-import math
 import reprlib
 from typing import Any, TypeVar
 
@@ -47,14 +46,14 @@
 
 
 def read_amount(table: Any, name: str, default: float = 0.0) -> float:
-    """Return a field that holds a finite number from 0, as a float.
+    """Return a field that holds a number from 0, of at most 63 bits, as a float.
 
     Raises PlatformError as ``read_field`` does, and for any other number.
     """
-    value = float(read_field(table, name, (int, float), default))
-    if not 0.0 <= value < math.inf:
+    value = read_field(table, name, (int, float), default)
+    if not 0 <= value <= MAX_WHOLE_NUMBER:
         raise PlatformError(f"{name}: out of range")
-    return value
+    return float(value)
 
 
 def read_field(
--- a/tests/test_cold_engines.py
+++ b/tests/test_cold_engines.py
@@ -95,6 +95,7 @@
         ({"cold_s": "3", "cold_per_s": 12}, ColdLimits()),
         ({"cold_s": 3.0, "cold_per_s": None}, ColdLimits()),
         ({"cold_s": 3.0, "cold_per_s": 1e999}, ColdLimits()),
+        ({"cold_s": 10**400, "cold_per_s": 12}, ColdLimits()),
         ({"cold_s": True, "cold_per_s": 12}, ColdLimits()),
     ],
 )
