Answer the request behind a refused one on a kept connection

Cause: the refusal went out without Connection: close; then all input was dropped for 0.5 s, whole requests too, and the connection closed.

Change: the rest of a refused body is read and dropped within the config's limits, and the connection goes on. Where the end of the body isn't to be expected (too large, stopped, given up for others, a caller that waits for 100 Continue) the refusal announces the close. Reading of bodies moves from Ingress to RequestBody. A connection whose request is answered counts as idle while the rest of the body comes, so a refused caller holds nothing that an idle one doesn't.

Seen and left: a chunk size that isn't a number is answered 408 after the header timeout.

--- a/dotterelpitch/gateway/aiohttp_response_writer.py
+++ b/dotterelpitch/gateway/aiohttp_response_writer.py
@@ -14,11 +14,11 @@
 class AiohttpResponseWriter(ResponseWriter):
     """Writes the response to a request received by aiohttp.
 
-    Connections are closed after the response while the gateway is stopping.
+    The connection is closed after the response if ``ends_connection`` returns True.
     """
 
     _request: web.BaseRequest
-    _is_stopping: Callable[[], bool]
+    _ends_connection: Callable[[], bool]
     _clock: Clock
     _response: web.StreamResponse | None = field(default=None, init=False)
 
@@ -30,7 +30,7 @@
         await self._response.write(data)
 
     async def end(self) -> None:
-        if self._is_stopping():
+        if self._ends_connection():
             self._response.force_close()
         await self._response.write_eof()
 
@@ -50,7 +50,7 @@
         return self._response
 
     async def _send_head(self, response: web.StreamResponse) -> None:
-        if self._is_stopping():
+        if self._ends_connection():
             response.force_close()
         self._response = response
         self.is_started = True
--- a/dotterelpitch/gateway/caller_connections.py
+++ b/dotterelpitch/gateway/caller_connections.py
@@ -23,19 +23,18 @@
     """
 
     _clock: Clock
-    _busy: set[CallerProtocol] = field(factory=set)
     _served: set[CallerProtocol] = field(factory=set)
     _idle_since: dict[CallerProtocol, float] = field(factory=dict)
 
     @contextlib.contextmanager
     def track_request(self, connection: CallerProtocol) -> Iterator[None]:
-        """Mark a connection as busy while a request is handled on it."""
-        self._busy.add(connection)
+        """Mark a connection as busy until a request on it is answered."""
+        connection.is_handling = True
         self._served.add(connection)
         try:
             yield
         finally:
-            self._busy.discard(connection)
+            connection.is_handling = False
             self._idle_since[connection] = self._clock.monotonic()
 
     def close_idle(
@@ -47,7 +46,8 @@
         self._served &= open_connections
         self._idle_since = {
             connection: self._idle_since.get(connection, now)
-            for connection in open_connections - self._busy
+            for connection in open_connections
+            if not connection.is_in_request
         }
         oldest_head = now - limits.header_timeout_s
         expired = [
@@ -81,7 +81,7 @@
         aiohttp's own ``close`` leaves an idle connection open but unread.
         """
         for connection in list(open_connections):
-            if connection in self._busy:
+            if connection.is_in_request:
                 connection.close()
             else:
                 connection.force_close()
--- a/dotterelpitch/gateway/caller_protocol.py
+++ b/dotterelpitch/gateway/caller_protocol.py
@@ -33,9 +33,10 @@
     """A connection of a caller.
 
     Input that is costly to parse goes through the pacer; reading stops meanwhile.
-    After ``discard_input`` all further input is dropped unparsed. ``head_since`` is
-    since when a request's head is incomplete, and ``unread_since`` since when what has
-    been written isn't read; times of the monotonic clock, or None.
+    After ``discard_input`` all further input is dropped unparsed. ``is_handling`` is
+    set until the request that is handled has been answered. ``head_since`` is since
+    when a request's head is incomplete, and ``unread_since`` since when what has been
+    written isn't read; times of the monotonic clock, or None.
     """
 
     def __init__(self, server: "CallerServer", **settings: Any) -> None:
@@ -43,6 +44,7 @@
         self._server = server
         self._held = bytearray()
         self._is_discarding = False
+        self.is_handling = False
         self.head_since: float | None = None
         self.unread_since: float | None = None
         self.active_at = server.clock.monotonic()
@@ -98,8 +100,11 @@
 
     @property
     def is_in_request(self) -> bool:
-        """Whether a request is being handled."""
-        return self._request_in_progress
+        """Whether a request has come that isn't answered, or its answer is being read.
+
+        A caller that still sends the body of an answered request isn't in one.
+        """
+        return self.is_handling or bool(self._messages) or self._is_discarding
 
     def _parse(self, data: bytes) -> None:
         super().data_received(data)
--- a/dotterelpitch/gateway/ingress.py
+++ b/dotterelpitch/gateway/ingress.py
@@ -2,20 +2,23 @@
 
 import asyncio
 import contextlib
-from functools import partial
 from http import HTTPStatus
 
 import xxhash
 from aiohttp import web
 
 from dotterelpitch.clock import Clock
-from dotterelpitch.errors import DotterelpitchError
 from dotterelpitch.gateway.aiohttp_response_writer import AiohttpResponseWriter
 from dotterelpitch.gateway.body_memory import BodyMemory, BodyReservation
 from dotterelpitch.gateway.call import Call, ResponseWriter
 from dotterelpitch.gateway.caller_connections import CallerConnections
 from dotterelpitch.gateway.forwarding import Forwarder
-from dotterelpitch.gateway.refusals import choose_retry_after, send_problem
+from dotterelpitch.gateway.refusals import (
+    RefusedError,
+    choose_retry_after,
+    send_problem,
+)
+from dotterelpitch.gateway.request_body import RequestBody
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.platform.headers import CallerHeaders, decode_caller_headers
 from dotterelpitch.protocol.work_tracker import WorkTracker
@@ -33,34 +36,10 @@
 # How long a request waits for the first config. A process that has just started
 # receives it within a few round trips.
 CONFIG_TIMEOUT_SECONDS = 0.4
-# Retry-After when the memory for bodies is full. Most requests that hold it now have
-# ended by then.
-BODY_RETRY_AFTER_SECONDS = 0.5
-# A caller that is refused before its body was read can read the response for so long.
-LINGER_SECONDS = 0.5
 # Bytes of a header besides its name and value, at least: a colon and CRLF.
 HEADER_OVERHEAD_BYTES = 3
 
 
-class EvictedError(DotterelpitchError):
-    """Raised where a body is read whose memory is needed for others."""
-
-
-class RefusedError(DotterelpitchError):
-    """Raised for a request that is refused before it is forwarded."""
-
-    def __init__(
-        self,
-        status: HTTPStatus,
-        reason: str,
-        retry_after_s: float | None = None,
-    ) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.retry_after_s = retry_after_s
-
-
 class Ingress:
     """Handles callers' requests.
 
@@ -84,24 +63,29 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; the handler that aiohttp calls."""
-        evicted = partial(request.content.set_exception, EvictedError())
+        body = RequestBody(request, self._clock, self._limits)
         with (
             self.connections.track_request(request.protocol),
-            self._body_memory.reserve(evicted) as reservation,
+            self._body_memory.reserve(body.evict) as reservation,
         ):
-            response = await self._handle(request, reservation)
-            await self._drop_rest(request, response)
-            return response
+            response = await self._handle(request, body, reservation)
+        await body.finish(response)
+        return response
 
     async def _handle(
-        self, request: web.BaseRequest, reservation: BodyReservation
+        self,
+        request: web.BaseRequest,
+        body: RequestBody,
+        reservation: BodyReservation,
     ) -> web.StreamResponse:
         started = self._clock.monotonic()
-        writer = AiohttpResponseWriter(request, lambda: self.is_stopping, self._clock)
+        writer = AiohttpResponseWriter(
+            request, lambda: self.is_stopping or body.ends_connection, self._clock
+        )
         headers = decode_caller_headers(request.headers.items())
         with self.work.track(headers.request_id):
             try:
-                await self._answer(request, headers, writer, started, reservation)
+                await self._answer(request, headers, body, writer, started, reservation)
             except asyncio.CancelledError:
                 self._log_caller_left(headers.request_id, started)
                 raise
@@ -111,24 +95,15 @@
                 await self._report_error(error, headers.request_id, writer)
         return writer.response or web.Response()  # Not sent: the caller has gone.
 
-    async def _drop_rest(
-        self, request: web.BaseRequest, response: web.StreamResponse
-    ) -> None:
-        """Drop the rest of a body that wasn't read, and have the connection closed.
-
-        It stays open for a moment, in which the caller can read the response.
-        """
-        if not request.can_read_body or request.content.is_eof():
-            return
-        request.protocol.discard_input()
-        response.force_close()
-        request.protocol.close()
-        await asyncio.sleep(LINGER_SECONDS)
+    def _limits(self) -> CallerLimits:
+        config = self._state.config
+        return config.limits if config is not None else CallerLimits()
 
     async def _answer(
         self,
         request: web.BaseRequest,
         headers: CallerHeaders,
+        body: RequestBody,
         writer: ResponseWriter,
         started: float,
         reservation: BodyReservation,
@@ -138,7 +113,7 @@
                 "connection closed before the request was handled"
             )
         try:
-            call = await self._build_call(request, headers, started, reservation)
+            call = await self._build_call(request, headers, body, started, reservation)
         except RefusedError as error:
             await send_problem(
                 writer,
@@ -176,6 +151,7 @@
         self,
         request: web.BaseRequest,
         headers: CallerHeaders,
+        body: RequestBody,
         started: float,
         reservation: BodyReservation,
     ) -> Call:
@@ -192,13 +168,13 @@
             budget_s = MAX_BUDGET_SECONDS
         deadline = started + min(budget_s, route.timeout_s)
         reservation.account = account.name if account else ""
-        body = await self._read_body(request, config.limits, reservation, deadline)
+        content = await body.read(reservation, deadline)
         return Call(
             request.method,
             target,
             host,
             headers,
-            body,
+            content,
             config,
             route,
             account,
@@ -207,50 +183,6 @@
             deadline,
         )
 
-    async def _read_body(
-        self,
-        request: web.BaseRequest,
-        limits: CallerLimits,
-        reservation: BodyReservation,
-        deadline: float,
-    ) -> bytes:
-        """Return the body of a request.
-
-        Raises RefusedError if it is too large, makes no progress, or finds no room.
-        """
-        if not request.can_read_body:
-            return b""
-        length = request.content_length
-        if length is not None and length > limits.max_body_bytes:
-            raise _too_large(limits)
-        parts: list[bytes] = []
-        try:
-            while data := await self._read_part(request, limits, deadline):
-                if not reservation.grow(len(data)):
-                    raise _no_room()
-                parts.append(data)
-                if reservation.size > limits.max_body_bytes:
-                    raise _too_large(limits)
-        except EvictedError:
-            raise _no_room() from None
-        except TimeoutError:
-            raise RefusedError(
-                HTTPStatus.REQUEST_TIMEOUT, "the rest of the body doesn't come"
-            ) from None
-        reservation.complete()
-        return b"".join(parts)
-
-    async def _read_part(
-        self, request: web.BaseRequest, limits: CallerLimits, deadline: float
-    ) -> bytes:
-        """Return the next bytes of a body; empty at its end.
-
-        Raises TimeoutError if none come for as long as a head may take.
-        """
-        left_s = deadline - self._clock.monotonic()
-        async with asyncio.timeout(min(limits.header_timeout_s, left_s)):
-            return await request.content.readany()
-
     async def _wait_for_config(self, headers: CallerHeaders) -> RoutingConfig:
         if self._state.config is None:
             try:
@@ -286,21 +218,6 @@
         )
 
 
-def _no_room() -> RefusedError:
-    return RefusedError(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        "the bodies of other requests take all memory for bodies",
-        BODY_RETRY_AFTER_SECONDS,
-    )
-
-
-def _too_large(limits: CallerLimits) -> RefusedError:
-    return RefusedError(
-        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        f"the body is above {limits.max_body_bytes} bytes",
-    )
-
-
 def _choose_service(route: Route, request_id: str) -> str:
     """Return one of the route's services by weight, the same for equal ids."""
     services = route.services
--- a/dotterelpitch/gateway/refusals.py
+++ b/dotterelpitch/gateway/refusals.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from dotterelpitch.errors import DotterelpitchError
 from dotterelpitch.gateway.call import ResponseWriter
 from dotterelpitch.platform.headers import REQUEST_ID, RETRY_AFTER, Headers
 from dotterelpitch.routing.attempt_outcomes import FinalResponse
@@ -17,6 +18,24 @@
 MAX_RETRY_AFTER_SECONDS = 1.0
 
 
+class RefusedError(DotterelpitchError):
+    """Raised for a request that is refused before it is forwarded.
+
+    ``retry_after_s`` is in seconds, or None if a retry is of no use.
+    """
+
+    def __init__(
+        self,
+        status: HTTPStatus,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
 @frozen
 class Refusal:
     """A status and an outcome: ``not-run`` if the request has certainly not run."""
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -110,6 +110,7 @@
     REQUEST_ENDED = (501, logging.INFO, "a request has its final outcome")
     REQUEST_REFUSED = (503, logging.WARNING, "a request was rejected before it ran")
     CALLER_LEFT = (504, logging.INFO, "a caller left before its response was complete")
+    BODY_UNREAD = (505, logging.INFO, "a connection ends in the body of a refused call")
     REQUEST_BROKE = (502, logging.ERROR, "a request failed with an internal error")
     KEYED_DISPATCHED = (510, logging.INFO, "a keyed call was dispatched to an endpoint")
     KEYED_ENDED = (511, logging.INFO, "the outcome of a keyed call was recorded")
--- /dev/null
+++ b/tests/test_kept_connections.py
@@ -0,0 +1,206 @@
+"""What follows on a connection that a caller keeps after a refusal."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from dotterelpitch.gateway.body_memory import STALLED_SECONDS
+from tests.harness.gateway_fleet import GatewayFleet, make_config, request_bytes
+from tests.harness.waiting import eventually
+
+# Bodies above this are too large.
+MAX_BODY_BYTES = 1_000_000
+BOOKING_BYTES = 600
+# The second half of a body comes so much later.
+HALF_SECONDS = 0.05
+ANSWER_SECONDS = 2.0
+
+
+# The memory of a VM whose bodies take less than two of the largest.
+SMALL_MEMORY_MB = 8
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    fleet = GatewayFleet(tmp_path)
+    await fleet.start()
+    config = make_config(2)
+    config["limits"] = {"max_body_bytes": MAX_BODY_BYTES, "header_timeout_ms": 1000}
+    fleet.store.put("op/config", config)
+    gateway = fleet.gateways[0]
+    await eventually(
+        lambda: any(e["version"] == 2 for e in gateway.process.events(211)), 5.0
+    )
+    yield fleet
+    request_errors = gateway.process.events(502)
+    await fleet.stop()
+    assert not request_errors
+
+
+class Caller:
+    """A caller with one connection."""
+
+    def __init__(self, reader, writer):
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def connect(cls, fleet):
+        host, _, port = fleet.gateways[0].caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            yield cls(reader, writer)
+        finally:
+            writer.close()
+
+    async def send(self, *parts):
+        """Send the parts of a request, the later ones after a moment."""
+        self._writer.write(parts[0])
+        for part in parts[1:]:
+            await asyncio.sleep(HALF_SECONDS)
+            with contextlib.suppress(ConnectionError):
+                self._writer.write(part)
+
+    async def read(self):
+        """Return the status of a whole response, and whether it announces a close."""
+        async with asyncio.timeout(ANSWER_SECONDS):
+            head = (await self._reader.readuntil(b"\r\n\r\n")).decode().lower()
+            length = int(head.split("content-length:")[1].split("\r\n")[0])
+            await self._reader.readexactly(length)
+        return int(head.split(" ")[1]), "connection: close" in head
+
+    async def is_closed(self):
+        """Return whether the gateway closes the connection within the time."""
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(ANSWER_SECONDS):
+                return await self._reader.read() == b""
+        return False
+
+
+def booking():
+    return request_bytes("/unsafe/1", "POST", bytes(BOOKING_BYTES), close=False)
+
+
+def in_one_piece(size, **request):
+    return [request_bytes(method="POST", body=bytes(size), close=False, **request)]
+
+
+def in_halves(size, **request):
+    (whole,) = in_one_piece(size, **request)
+    cut = len(whole) - size // 2
+    return [whole[:cut], whole[cut:]]
+
+
+def in_chunks(size, **request):
+    (whole,) = in_one_piece(0, **request)
+    headers = (*request.get("headers", ()), "Transfer-Encoding: chunked")
+    whole = request_bytes(
+        method="POST", close=False, **(request | {"headers": headers})
+    )
+    half = b"%x\r\n%s\r\n" % (size // 2, bytes(size // 2))
+    return [whole + half, half + b"0\r\n\r\n"]
+
+
+REFUSED_REQUESTS = {
+    401: {"path": "/unsafe/1", "key": "unknown"},
+    404: {"path": "/nowhere/1"},
+    431: {"path": "/unsafe/1", "headers": ("X: " + "x" * 17_000,)},
+}
+
+
+# Guards against: the request behind a refused one on a kept connection gets no answer.
+@pytest.mark.parametrize("send", [in_one_piece, in_halves, in_chunks])
+@pytest.mark.parametrize("size", [600, 40_000, 400_000])
+@pytest.mark.parametrize("status", REFUSED_REQUESTS)
+async def test_request_behind_a_refused_one_is_answered(fleet, status, size, send):
+    async with Caller.connect(fleet) as caller:
+        for _ in range(3):
+            await caller.send(*send(size, **REFUSED_REQUESTS[status]))
+            assert await caller.read() == (status, False)
+        await caller.send(booking())
+        assert await caller.read() == (200, False)
+    assert len(fleet.exchanges()) == 1
+
+
+# Guards against: the same where the caller doesn't wait for the refusals.
+@pytest.mark.parametrize("size", [600, 40_000])
+async def test_requests_sent_ahead_behind_refused_ones_are_answered(fleet, size):
+    async with Caller.connect(fleet) as caller:
+        refused = b"".join(in_one_piece(size, **REFUSED_REQUESTS[404]))
+        await caller.send(refused + refused + booking() + refused + booking())
+        statuses = [(await caller.read())[0] for _ in range(5)]
+        assert statuses == [404, 404, 200, 404, 200]
+
+
+@pytest.fixture
+async def small_gateway(fleet):
+    """The gateway of ``fleet``, restarted with little memory for bodies."""
+    gateway = fleet.gateways[0]
+    gateway.write_settings(
+        fleet.store.address, [], limits={"memory_mb": SMALL_MEMORY_MB}
+    )
+    await gateway.process.kill()
+    await gateway.process.start()
+    await gateway.wait_ready()
+    return gateway
+
+
+# Guards against: the same where there is no memory for the body of the refused one.
+@pytest.mark.parametrize("send", [in_one_piece, in_halves, in_chunks])
+async def test_request_behind_one_without_room_is_answered(fleet, small_gateway, send):
+    async with Caller.connect(fleet) as caller:
+        # An account may have half of the memory for bodies.
+        await caller.send(*send(MAX_BODY_BYTES, path="/unsafe/1"))
+        assert await caller.read() == (503, False)
+        await caller.send(booking())
+        assert await caller.read() == (200, False)
+
+
+# Guards against: a body that makes room for others, and whose caller isn't told that
+# its connection ends.
+async def test_caller_whose_body_makes_room_is_told_of_the_close(fleet, small_gateway):
+    async with Caller.connect(fleet) as stalled, Caller.connect(fleet) as other:
+        await stalled.send(in_halves(MAX_BODY_BYTES, path="/open/1", key="")[0])
+        await asyncio.sleep(STALLED_SECONDS + 0.1)
+        await other.send(*in_one_piece(MAX_BODY_BYTES, path="/open/1", key=""))
+        assert await other.read() == (200, False)
+        assert await stalled.read() == (503, True)
+
+
+EXPECTING = request_bytes(
+    "/nowhere/1",
+    "POST",
+    headers=("Expect: 100-continue", "Content-Length: 600"),
+    close=False,
+)
+
+
+# Guards against: a close that isn't announced, where the rest of a body isn't read.
+@pytest.mark.parametrize(
+    ("parts", "status"),
+    [
+        (in_one_piece(2 * MAX_BODY_BYTES, path="/unsafe/1"), 413),
+        (in_halves(2 * MAX_BODY_BYTES, path="/unsafe/1"), 413),
+        (in_chunks(4 * MAX_BODY_BYTES, path="/unsafe/1"), 413),
+        (in_halves(2 * MAX_BODY_BYTES, path="/nowhere/1"), 404),
+        (in_halves(600, path="/unsafe/1")[:1], 408),
+        ([EXPECTING], 404),
+    ],
+    ids=["413", "413 in halves", "413 in chunks", "404 large", "408", "expecting"],
+)
+async def test_close_is_announced_where_the_rest_is_not_read(fleet, parts, status):
+    async with Caller.connect(fleet) as caller:
+        await caller.send(*parts)
+        assert await caller.read() == (status, True)
+        assert await caller.is_closed()
+    assert not fleet.exchanges()
+
+
+# Guards against: a refused body that stops holds its connection for long.
+async def test_refused_body_that_stops_is_given_up(fleet):
+    async with Caller.connect(fleet) as caller:
+        await caller.send(in_halves(600, **REFUSED_REQUESTS[404])[0])
+        assert await caller.read() == (404, False)
+        assert await caller.is_closed()
