Refuse requests without a valid key while no account has a key

Callers without any right ran requests on routes that need a key, once the last key of a config was taken away: with the revoked key, a forged one, or none.

Cause: needs_key asked whether there is any key, not whether the config has accounts.

Change: a key is needed if the config has the list of accounts, even an empty one; an empty key counts for nothing. The same field decides for calls of peers. The config checker says what such a config does now.

--- a/dotterelpitch/platform/config_record.py
+++ b/dotterelpitch/platform/config_record.py
@@ -55,6 +55,7 @@
             service_by_name=_decode_services(read_field(content, "services", list, [])),
             account_by_key=_decode_accounts(read_field(content, "tenants", list, [])),
             limits=_decode_limits(read_field(content, "limits", dict, {})),
+            needs_key="tenants" in content,
         )
         self._decoded_by_route_key = {
             (route.host, route.path_prefix): (table, route) for table, route in decoded
@@ -162,7 +163,8 @@
             read_field(table, "name", str), read_field(table, "priority", int, None)
         )
         for key in read_field(table, "api_keys", list, []):
-            account_by_key[key] = account
+            if key:  # An empty one would let through whoever sends none.
+                account_by_key[key] = account
     return account_by_key
 
 
--- a/dotterelpitch/routing/config_findings.py
+++ b/dotterelpitch/routing/config_findings.py
@@ -96,14 +96,15 @@
 
 
 class ClosedRoutes(FindingKind):
-    """Routes that need a key, in a config without any."""
+    """Routes that need a key, or should, in a config without any."""
 
     name = "no-keys"
 
     def find(self, config: RoutingConfig) -> Iterator[Finding]:
         is_closed = any(not route.is_public for route in config.routes)
         if is_closed and not config.account_by_key:
-            yield self.finding("tenants", "without any key, all routes are public")
+            effect = "refuse all callers" if config.needs_key else "are public"
+            yield self.finding("tenants", f"without any key, all routes {effect}")
 
 
 class NoWeight(FindingKind):
--- a/dotterelpitch/routing/route_table.py
+++ b/dotterelpitch/routing/route_table.py
@@ -103,6 +103,9 @@
 class RoutingConfig:
     """One config version, with lookups by host and path, service, and API key.
 
+    With ``needs_key``, callers of routes that aren't public must send an API key, also
+    while no account has one.
+
     >>> route = Route(
     ...     "r", "a.example", "/x/", CallKind.SAFE, (WeightedService("s", 1),), 1, 0.1
     ... )
@@ -118,6 +121,7 @@
     service_by_name: Mapping[str, ServiceLimits]
     account_by_key: Mapping[str, Account]
     limits: CallerLimits
+    needs_key: bool = True
     _route_by_prefix_by_host: dict[str, dict[str, Route]] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -126,11 +130,6 @@
             by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
         self._route_by_prefix_by_host = by_host
 
-    @property
-    def needs_key(self) -> bool:
-        """Whether callers of routes that aren't public must send an API key."""
-        return bool(self.account_by_key)
-
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest path prefix, or None.
 
--- a/tests/test_check_config.py
+++ b/tests/test_check_config.py
@@ -93,6 +93,18 @@
     assert report.exit_code == EXIT_FINDINGS
 
 
+# Guards against: an operator who is told that routes are open where all are refused.
+@pytest.mark.parametrize(
+    ("changes", "effect"),
+    [({"tenants": []}, "refuse all callers"), ({}, "are public")],
+)
+def test_effect_of_a_configuration_without_keys(changes, effect):
+    content = make_config()
+    del content["tenants"]
+    report = report_of(content | changes)
+    assert [effect in finding.text for finding in report.findings] == [True]
+
+
 @pytest.mark.parametrize(
     ("changes", "error"),
     [
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -447,6 +447,49 @@
     assert old_key.startswith(b"HTTP/1.1 401 ")
 
 
+# Guards against: a forged key, a revoked one, or none opens all routes, once no account
+# has a key; at the first config and at a later one.
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [{"name": ACCOUNT, "api_keys": []}],
+        [{"name": ACCOUNT, "api_keys": [""]}],
+        [{"name": ACCOUNT}],
+        [],
+    ],
+)
+@pytest.mark.parametrize("is_first", [True, False])
+async def test_no_key_is_valid_while_no_account_has_one(fleet, tenants, is_first):
+    gateway = await fleet.start()
+    fleet.store.put("op/config", make_config(2) | {"tenants": tenants})
+    await eventually(
+        lambda: any(e["version"] == 2 for e in gateway.process.events(211)), 5.0
+    )
+    if is_first:
+        gateway = fleet.add_gateway(fleet.store.address)
+        await gateway.process.start()
+        await gateway.wait_ready()
+    for key in (KEY, "forged", ""):
+        data = request_bytes("/safe/1", key=key)
+        response = await send_raw(gateway.caller_address, data)
+        assert response.startswith(b"HTTP/1.1 401 ")
+    assert not fleet.exchanges()
+    public = await send_raw(gateway.caller_address, request_bytes("/open/1", key=""))
+    assert public.startswith(b"HTTP/1.1 200 ")
+
+
+async def test_without_accounts_no_key_is_needed(fleet):
+    gateway = await fleet.start()
+    config = make_config(2)
+    del config["tenants"]
+    fleet.store.put("op/config", config)
+    await eventually(
+        lambda: any(e["version"] == 2 for e in gateway.process.events(211)), 5.0
+    )
+    response = await send_raw(gateway.caller_address, request_bytes("/safe/1", key=""))
+    assert response.startswith(b"HTTP/1.1 200 ")
+
+
 async def test_full_list_is_read_after_history_is_lost(fleet):
     gateway = await fleet.start()
     await pause(0.2)
--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -34,7 +34,7 @@
 )
 from dotterelpitch.protocol.work_tracker import WorkTracker
 from dotterelpitch.routing.engine_contact import UNCONFIRMED_SECONDS, EngineContact
-from tests.harness.gateway_fleet import ACCOUNT, HOST, make_config
+from tests.harness.gateway_fleet import ACCOUNT, HOST, KEY, make_config
 
 NOW = 100.0
 
@@ -95,9 +95,9 @@
     return ForwardCall(**values)
 
 
-def make_server(clock, contact=None, memory=1000):
+def make_server(clock, contact=None, memory=1000, keys=(KEY,)):
     state = GatewayState(clock)
-    value = json.dumps(make_config(5)).encode()
+    value = json.dumps(make_config(5, keys=keys)).encode()
     response = StoreResponse((StoreRecord(CONFIG_KEY, value),), 1)
     state.apply_list(response, may_be_incomplete=False)
     forwarder = ForwarderStub()
@@ -112,6 +112,15 @@
     return server, forwarder
 
 
+# Guards against: calls of peers run without an account once no account has a key.
+@pytest.mark.parametrize("account", ["", ACCOUNT])
+async def test_gateway_takes_no_calls_without_a_key_in_force(account):
+    server, _ = make_server(ManualClock(NOW), keys=())
+    stream = StreamStub(Data(b"body"), End())
+    await server.handle(stream, make_request(account=account))
+    assert isinstance(stream.sent[0], CallDeclined)
+
+
 # Guards against: a gateway serves a call of a peer that it wouldn't serve by itself, or
 # says that one hasn't run which has.
 @pytest.mark.parametrize(
