Answer the requests that come as a stopping gateway stops accepting

And aiohttp's close drops the rest of a body.

Change: connections are closed by what has been parsed, after one more read; bodies may come for 0.2 s more, then their requests are refused at once as not run, with the true reason; the process ends once its connections are closed.

Tried and dropped: a test of a slowly read response, which didn't fail before either. Gateway process, start, soak, hostile client, and kept connection tests: 204 passed.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -70,6 +70,8 @@
 # How long connections of callers are still accepted after SIGTERM. The load balancer
 # checks readiness once per second and stops sending callers after two failed checks.
 LINGER_SECONDS = 2.8
+# Bodies that are on their way then may come for so long.
+LAST_BODY_SECONDS = 0.2
 # Remaining requests are aborted this long before the end of the grace period.
 STOP_MARGIN_SECONDS = 0.6
 
@@ -353,16 +355,27 @@
         self.ingress.is_stopping = True
         self.peer_calls.is_stopping = True
         grace_s = self._vm.promises.stop_grace_s - STOP_MARGIN_SECONDS
-        linger_s = min(LINGER_SECONDS, grace_s / 2)
-        await asyncio.sleep(linger_s)
-        listeners.close_callers()
-        self.ingress.connections.close_all(listeners.callers.connections)
         try:
-            async with asyncio.timeout(grace_s - linger_s):
+            async with asyncio.timeout(grace_s):
+                await asyncio.sleep(min(LINGER_SECONDS, grace_s / 2))
+                await self._stop_taking(listeners)
                 await self.ingress.work.wait_idle()
+                await listeners.callers.wait_closed()
         except TimeoutError:
             log_event(Event.STOP_CUT, requests=self.ingress.work.names())
 
+    async def _stop_taking(self, listeners: Listeners) -> None:
+        """Stop accepting, but take the requests that have come or are on their way."""
+        listeners.close_callers()
+        # What is in the sockets' buffers is read and parsed first.
+        for _ in range(2):
+            await asyncio.sleep(0)
+        connections = self.ingress.connections
+        connections.close_unused(listeners.callers.connections)
+        await asyncio.sleep(LAST_BODY_SECONDS)
+        self.ingress.stop_taking()
+        connections.close_unused(listeners.callers.connections)
+
     def _record_restart(self, previous: Engine) -> None:
         """Record that another run has replaced ``previous``, as the registry says."""
         self.engine_tracker.record_engine_restart(previous)
--- a/dotterelpitch/gateway/caller_connections.py
+++ b/dotterelpitch/gateway/caller_connections.py
@@ -75,15 +75,13 @@
             abort(connection)
         return len(unread)
 
-    def close_all(self, open_connections: Iterable[CallerProtocol]) -> None:
-        """Close idle connections now and busy ones after their response.
+    def close_unused(self, open_connections: Iterable[CallerProtocol]) -> None:
+        """Close the connections on which no request has come.
 
         aiohttp's own ``close`` leaves an idle connection open but unread.
         """
         for connection in list(open_connections):
-            if connection.is_in_request:
-                connection.close()
-            else:
+            if not connection.is_in_request:
                 connection.force_close()
 
     def _idle_limit_s(self, connection: CallerProtocol, limits: CallerLimits) -> float:
--- a/dotterelpitch/gateway/caller_protocol.py
+++ b/dotterelpitch/gateway/caller_protocol.py
@@ -55,6 +55,11 @@
         super().connection_made(transport)
         self._server.make_room()
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection; all that was written has been sent, or is lost."""
+        super().connection_lost(exc)
+        self._server.record_closed(self)
+
     def data_received(self, data: bytes) -> None:
         """Parse input, at once if that is cheap."""
         if self._is_discarding:
@@ -104,7 +109,11 @@
 
         A caller that still sends the body of an answered request isn't in one.
         """
-        return self.is_handling or bool(self._messages) or self._is_discarding
+        if self.is_handling or self._is_discarding:
+            return True
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        is_skipping_body = self._current_request is not None
+        return self._request_count > 0 and not (is_waiting or is_skipping_body)
 
     def _parse(self, data: bytes) -> None:
         super().data_received(data)
@@ -134,10 +143,26 @@
         self.clock = clock
         self.pacer = pacer
         self._most = most
+        self._open: set[RequestHandler] = set()
+        self._all_closed = asyncio.Event()
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
-        return CallerProtocol(self, loop=self._loop, **self._kwargs)
+        connection = CallerProtocol(self, loop=self._loop, **self._kwargs)
+        self._open.add(connection)
+        return connection
+
+    def record_closed(self, connection: RequestHandler) -> None:
+        """Note that a connection has ended."""
+        self._open.discard(connection)
+        if not self._open:
+            self._all_closed.set()
+
+    async def wait_closed(self) -> None:
+        """Wait until no connection is open, so all that was written has been sent."""
+        while self._open:
+            self._all_closed.clear()
+            await self._all_closed.wait()
 
     def make_room(self) -> None:
         """Close a connection if there are too many."""
--- a/dotterelpitch/gateway/ingress.py
+++ b/dotterelpitch/gateway/ingress.py
@@ -14,6 +14,7 @@
 from dotterelpitch.gateway.caller_connections import CallerConnections
 from dotterelpitch.gateway.forwarding import Forwarder
 from dotterelpitch.gateway.refusals import (
+    MIN_RETRY_AFTER_SECONDS,
     RefusedError,
     choose_retry_after,
     send_problem,
@@ -43,7 +44,8 @@
 class Ingress:
     """Handles callers' requests.
 
-    While ``is_stopping`` is set, each connection is closed after its response.
+    While ``is_stopping`` is set, each connection is closed after its response. After
+    ``stop_taking`` no further request is served.
     """
 
     def __init__(
@@ -60,6 +62,14 @@
         self.connections = CallerConnections(clock)
         self.work = WorkTracker()
         self.is_stopping = False
+        self._is_taking = True
+        self._incomplete_bodies: set[RequestBody] = set()
+
+    def stop_taking(self) -> None:
+        """Refuse the requests whose body isn't complete, and all that come later."""
+        self._is_taking = False
+        for body in self._incomplete_bodies:
+            body.give_up(_stopping())
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; the handler that aiohttp calls."""
@@ -155,6 +165,8 @@
         started: float,
         reservation: BodyReservation,
     ) -> Call:
+        if not self._is_taking:
+            raise _stopping()
         config = await self._wait_for_config(headers)
         _check_header_size(request, config.limits)
         host = request.headers.get("Host", "")
@@ -168,7 +180,7 @@
             budget_s = MAX_BUDGET_SECONDS
         deadline = started + min(budget_s, route.timeout_s)
         reservation.account = account.name if account else ""
-        content = await body.read(reservation, deadline)
+        content = await self._read_body(body, reservation, deadline)
         return Call(
             request.method,
             target,
@@ -183,6 +195,16 @@
             deadline,
         )
 
+    async def _read_body(
+        self, body: RequestBody, reservation: BodyReservation, deadline: float
+    ) -> bytes:
+        """Return the whole body, unless the gateway stops meanwhile."""
+        self._incomplete_bodies.add(body)
+        try:
+            return await body.read(reservation, deadline)
+        finally:
+            self._incomplete_bodies.discard(body)
+
     async def _wait_for_config(self, headers: CallerHeaders) -> RoutingConfig:
         if self._state.config is None:
             try:
@@ -198,6 +220,14 @@
         return self._state.config
 
 
+def _stopping() -> RefusedError:
+    return RefusedError(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "the gateway is stopping",
+        MIN_RETRY_AFTER_SECONDS,
+    )
+
+
 def _find_account(
     config: RoutingConfig, route: Route, headers: CallerHeaders
 ) -> Account | None:
