Count an engine's header fields by what they take in memory

An engine that sends short header fields without end made the gateway grow by 4 to 8 MB a connection, so callers of other engines could lose their requests with the process.

Cause: the bound of 64 KiB on a head counted characters; a field of one character takes 160 times as much. Ten calls at such engines: 81 MB with fields of three bytes, 40 MB with six.

Change: each field counts 160 bytes more.

--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -16,7 +16,10 @@
 
 # Reading from the engine pauses while more than this of a body is unread.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
+# Bounds the memory of all header fields of a response.
 MAX_HEAD_BYTES = 64 * 1024
+# What a field takes in memory besides the characters of its name and value, about.
+FIELD_OVERHEAD_BYTES = 160
 # Bytes that bring neither the head nor a part of the body, such as an endless line or
 # interim responses without end. The parser buffers some of them.
 MAX_OVERHEAD_BYTES = 512 * 1024
@@ -177,7 +180,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._head is not None:
             return  # A trailer, or the head of an unsolicited response.
-        self._head_bytes += len(name) + len(value)
+        self._head_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
         if self._head_bytes > MAX_HEAD_BYTES:
             self._fail(
                 AnswerGarbledError(f"the answer's head exceeds {MAX_HEAD_BYTES} bytes")
