Take no version for the only one at a VM that has been out of step

Callers whose stream had begun at a new engine version, and who took it up at a VM that had been cut off for up to 3 s or had stood still, got the old version's text behind it.

Cause: a stream of unknown origin went on at the single known version while the state was confirmed within 3 s; and what had waited in the sockets' buffers during a gap confirmed it as if it were new.

Change: a gap of 1 s in running, or of 1.75 s without a confirmation, counts while it lasts and for 2 s after it (routing/continuity.py); then the engines' caches are asked, as after a start.

The drill of test_stream_versions failed on (the request ran at the old version) and passes; eight cases without a network join test_stream_origins. Its setup confirmed the state once after 60 s of silence, which is such a gap itself; it now does so each 0.1 s, no expectation has changed.

--- a/dotterelpitch/gateway/peer_links.py
+++ b/dotterelpitch/gateway/peer_links.py
@@ -99,6 +99,7 @@
         """Update the links and send digests periodically, until cancelled."""
         try:
             while True:
+                self._state.continuity.record_running()
                 changed = self._state.changed
                 self._update_topology()
                 self._reconcile_dials()
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -15,6 +15,7 @@
 )
 from dotterelpitch.platform.store import StoreRecord, StoreResponse
 from dotterelpitch.routing.cold_engines import ColdEngines, ColdLimits
+from dotterelpitch.routing.continuity import Continuity
 from dotterelpitch.routing.engines import Engine, EngineDirectory, EngineRun
 from dotterelpitch.routing.evacuations import Evacuations
 from dotterelpitch.routing.leaving_engines import LeavingEngines
@@ -39,6 +40,8 @@
     ``cold_engines`` the engines that bear few.
     ``lacks_evacuations`` is whether records have come from a peer that passes none on.
 
+    ``continuity`` tells whether it may be outdated by a gap.
+
     ``position`` is where in the store's history all changes are applied.
     ``changed`` is set, and replaced by a new event, on each new revision or config and
     by ``notify_peers``;
@@ -62,6 +65,7 @@
         self.position = StorePosition()
         self._removals = EngineRemovals(clock)
         self.confirmed_at = float("-inf")
+        self.continuity = Continuity(clock)
 
     @property
     def revision(self) -> int:
@@ -270,6 +274,7 @@
 
     def confirm(self, position: StorePosition, age_s: float = 0.0) -> None:
         """Record that the state of ``position`` was current ``age_s`` seconds ago."""
+        self.continuity.record_confirmed(age_s)
         confirmed_at = self.clock.monotonic() - age_s
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if position > self.position:
--- a/dotterelpitch/gateway/stream_resumption.py
+++ b/dotterelpitch/gateway/stream_resumption.py
@@ -12,9 +12,6 @@
     StreamOrigins,
 )
 
-# An older state may lack a version that other VMs use already.
-MAX_STATE_AGE_SECONDS = 3.0
-
 UNKNOWN_ORIGIN_REASON = "it isn't known which engine version began the stream"
 OTHER_SERVICE_REASON = "the service that began the stream isn't on this route"
 NO_ENGINE_OF_VERSION_REASON = "no engine of the version that began the stream is free"
@@ -38,8 +35,9 @@
     """Resolves calls that take a stream up again.
 
     A stream of unknown origin goes on if its service is known to have had one version
-    only, for as long as origins are known; otherwise at the version whose engines have
-    its prompt in their caches, if there is just one.
+    only, for as long as origins are known, and this VM has missed nothing of late;
+    otherwise at the version whose engines have its prompt in their caches, if there is
+    just one.
     """
 
     _state: GatewayState
@@ -78,7 +76,7 @@
 
     def _known_versions(self, service: str) -> set[str] | None:
         """Return the versions that may have begun a stream, or None if not known."""
-        if self._state.age_s > MAX_STATE_AGE_SECONDS:
+        if self._state.continuity.has_gap():
             return None
         directory = self._state.directory
         if not directory.version_history.reaches_back(RETENTION_SECONDS):
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -22,6 +22,11 @@
     StreamResumption,
 )
 from dotterelpitch.platform.cache_list import decode_cache_list
+from dotterelpitch.routing.continuity import (
+    MAX_SILENCE_SECONDS,
+    MAX_STANDSTILL_SECONDS,
+    SETTLING_SECONDS,
+)
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.routing.stream_origins import (
@@ -38,6 +43,7 @@
 from tests.harness.simulated_gateways import make_fleet
 
 ORIGIN = StreamOrigin("chat", "v1")
+STEP_SECONDS = 0.1
 
 
 def make_call(
@@ -77,6 +83,14 @@
         return frozenset(self.parts_by_id[engine_id])
 
 
+def follow(state, seconds):
+    """Let time pass in which the process runs and its state is confirmed."""
+    for _ in range(round(seconds / STEP_SECONDS)):
+        state.clock.advance(STEP_SECONDS)
+        state.continuity.record_running()
+        state.confirm(StorePosition(revision=1))
+
+
 def make_resumption(versions, service="chat", known_for_s=60.0, caches=None):
     clock = ManualClock(100.0)
     state = GatewayState(clock)
@@ -87,8 +101,7 @@
         ],
         may_be_incomplete=False,
     )
-    clock.advance(known_for_s)
-    state.confirm(StorePosition(revision=1))
+    follow(state, known_for_s)
     origins = StreamOrigins(clock)
     origins.record("packers", "r1", StreamOrigin(service, "v1"))
     finder = CachedPromptFinder(clock, state.directory, (caches or Caches()).read)
@@ -142,7 +155,7 @@
 # Guards against: all engines were replaced a moment ago, and old streams join the new.
 @pytest.mark.parametrize("is_replaced", [True, False])
 def test_version_that_has_left_counts_for_a_while(is_replaced):
-    resumption, directory, clock = make_resumption(["v1"])
+    resumption, directory, _ = make_resumption(["v1"])
     if is_replaced:
         directory.put(Engine("e0", "chat", "10.0.0.1:1", "a", 0, False, 1, "v2"))
     else:
@@ -150,11 +163,38 @@
         directory.put(Engine("e1", "chat", "10.0.0.1:1", "a", version="v2"))
     call = make_call(resumes="unknown")
     assert resolve(resumption, call).refusal_reason == UNKNOWN_ORIGIN_REASON
-    clock.advance(RETENTION_SECONDS + 1.0)
-    resumption._state.confirm(StorePosition(revision=1))
+    follow(resumption._state, RETENTION_SECONDS + 1.0)
     assert resolve(resumption, call) == Resumption("chat", "v2")
 
 
+# Guards against: a VM that stood still, or was cut off, takes what it last heard, or
+# what has waited for it since, for all there is.
+@pytest.mark.parametrize(
+    ("stands_still_s", "silent_s", "followed_s", "goes_on"),
+    [
+        (0.0, 0.0, 0.0, True),
+        (MAX_STANDSTILL_SECONDS + 0.1, 0.0, 0.0, False),
+        (MAX_STANDSTILL_SECONDS + 0.1, 0.0, 0.5, False),
+        (MAX_STANDSTILL_SECONDS + 0.1, 0.0, SETTLING_SECONDS + 0.2, True),
+        (0.0, MAX_SILENCE_SECONDS - 0.3, 0.0, True),
+        (0.0, MAX_SILENCE_SECONDS + 0.1, 0.0, False),
+        (0.0, MAX_SILENCE_SECONDS + 0.1, 0.5, False),
+        (0.0, MAX_SILENCE_SECONDS + 0.1, SETTLING_SECONDS + 0.2, True),
+    ],
+)
+def test_one_version_counts_only_without_a_gap(
+    stands_still_s, silent_s, followed_s, goes_on
+):
+    resumption, _, clock = make_resumption(["v1"])
+    clock.advance(stands_still_s)
+    for _ in range(round(silent_s / STEP_SECONDS)):
+        clock.advance(STEP_SECONDS)
+        resumption._state.continuity.record_running()
+    follow(resumption._state, followed_s)
+    resolved = resolve(resumption, make_call(resumes="unknown"))
+    assert (resolved == Resumption("chat", "v1")) is goes_on
+
+
 # Guards against: a stream can be taken up once only.
 def test_stream_goes_on_also_if_the_caller_names_an_attempt_that_took_it_up():
     resumption, _, _ = make_resumption(["v1", "v2"])
