Share the kept caller of two tests; name the request of a body that isn't read

One class serves both files of tests that keep a connection, with the same bounds. Event 505 names the request. A body that is whole when the gateway stops taking requests isn't given up in the moment before it is read.

--- a/dotterelpitch/gateway/ingress.py
+++ b/dotterelpitch/gateway/ingress.py
@@ -73,18 +73,20 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; the handler that aiohttp calls."""
-        body = RequestBody(request, self._clock, self._limits)
+        headers = decode_caller_headers(request.headers.items())
+        body = RequestBody(request, headers.request_id, self._clock, self._limits)
         with (
             self.connections.track_request(request.protocol),
             self._body_memory.reserve(body.evict) as reservation,
         ):
-            response = await self._handle(request, body, reservation)
+            response = await self._handle(request, headers, body, reservation)
         await body.finish(response)
         return response
 
     async def _handle(
         self,
         request: web.BaseRequest,
+        headers: CallerHeaders,
         body: RequestBody,
         reservation: BodyReservation,
     ) -> web.StreamResponse:
@@ -92,7 +94,6 @@
         writer = AiohttpResponseWriter(
             request, lambda: self.is_stopping or body.ends_connection, self._clock
         )
-        headers = decode_caller_headers(request.headers.items())
         with self.work.track(headers.request_id):
             try:
                 await self._answer(request, headers, body, writer, started, reservation)
--- a/dotterelpitch/gateway/request_body.py
+++ b/dotterelpitch/gateway/request_body.py
@@ -37,6 +37,7 @@
     """
 
     _request: web.BaseRequest
+    _request_id: str
     _clock: Clock
     _get_limits: Callable[[], CallerLimits]
     _is_given_up: bool = field(default=False, init=False)
@@ -90,7 +91,9 @@
         self.give_up(_no_room())
 
     def give_up(self, error: RefusedError) -> None:
-        """End the reading of the body with an error."""
+        """End the reading of the body with an error, unless all of it has come."""
+        if self._request.content.is_eof():
+            return
         self._is_given_up = True
         self._request.content.set_exception(error)
 
@@ -103,7 +106,11 @@
             return
         if response.keep_alive and await self._skip_rest():
             return
-        log_event(Event.BODY_UNREAD, announced=not response.keep_alive)
+        log_event(
+            Event.BODY_UNREAD,
+            request=self._request_id,
+            announced=not response.keep_alive,
+        )
         await self._close_connection(response)
 
     @property
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -1,20 +1,17 @@
 """What follows on a connection that a caller keeps after a refusal."""
 
 import asyncio
-import contextlib
 
 import pytest
 
 from dotterelpitch.gateway.body_memory import STALLED_SECONDS
 from tests.harness.gateway_fleet import GatewayFleet, make_config, request_bytes
+from tests.harness.kept_caller import KeptCaller
 from tests.harness.waiting import eventually
 
 # Bodies above this are too large.
 MAX_BODY_BYTES = 1_000_000
 BOOKING_BYTES = 600
-# The second half of a body comes so much later.
-HALF_SECONDS = 0.05
-ANSWER_SECONDS = 2.0
 
 
 # The memory of a VM whose bodies take less than two of the largest.
@@ -38,45 +35,14 @@
     assert not request_errors
 
 
-class Caller:
-    """A caller with one connection."""
-
-    def __init__(self, reader, writer):
-        self._reader = reader
-        self._writer = writer
-
-    @classmethod
-    @contextlib.asynccontextmanager
-    async def connect(cls, fleet):
-        host, _, port = fleet.gateways[0].caller_address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            yield cls(reader, writer)
-        finally:
-            writer.close()
-
-    async def send(self, *parts):
-        """Send the parts of a request, the later ones after a moment."""
-        self._writer.write(parts[0])
-        for part in parts[1:]:
-            await asyncio.sleep(HALF_SECONDS)
-            with contextlib.suppress(ConnectionError):
-                self._writer.write(part)
-
-    async def read(self):
-        """Return the status of a whole response, and whether it announces a close."""
-        async with asyncio.timeout(ANSWER_SECONDS):
-            head = (await self._reader.readuntil(b"\r\n\r\n")).decode().lower()
-            length = int(head.split("content-length:")[1].split("\r\n")[0])
-            await self._reader.readexactly(length)
-        return int(head.split(" ")[1]), "connection: close" in head
-
-    async def is_closed(self):
-        """Return whether the gateway closes the connection within the time."""
-        with contextlib.suppress(TimeoutError, ConnectionError):
-            async with asyncio.timeout(ANSWER_SECONDS):
-                return await self._reader.read() == b""
-        return False
+def connect(fleet):
+    return KeptCaller.connect(fleet.gateways[0].caller_address)
+
+
+async def outcome(caller):
+    """Return the status of the next response, and whether it announces a close."""
+    response = await caller.read()
+    return response.status, response.announces_close
 
 
 def booking():
@@ -115,22 +81,22 @@
 @pytest.mark.parametrize("size", [600, 40_000, 400_000])
 @pytest.mark.parametrize("status", REFUSED_REQUESTS)
 async def test_request_behind_a_refused_one_is_answered(fleet, status, size, send):
-    async with Caller.connect(fleet) as caller:
+    async with connect(fleet) as caller:
         for _ in range(3):
             await caller.send(*send(size, **REFUSED_REQUESTS[status]))
-            assert await caller.read() == (status, False)
+            assert await outcome(caller) == (status, False)
         await caller.send(booking())
-        assert await caller.read() == (200, False)
+        assert await outcome(caller) == (200, False)
     assert len(fleet.exchanges()) == 1
 
 
 # Guards against: the same where the caller doesn't wait for the refusals.
 @pytest.mark.parametrize("size", [600, 40_000])
 async def test_requests_sent_ahead_behind_refused_ones_are_answered(fleet, size):
-    async with Caller.connect(fleet) as caller:
+    async with connect(fleet) as caller:
         refused = b"".join(in_one_piece(size, **REFUSED_REQUESTS[404]))
         await caller.send(refused + refused + booking() + refused + booking())
-        statuses = [(await caller.read())[0] for _ in range(5)]
+        statuses = [(await caller.read()).status for _ in range(5)]
         assert statuses == [404, 404, 200, 404, 200]
 
 
@@ -150,23 +116,23 @@
 # Guards against: the same where there is no memory for the body of the refused one.
 @pytest.mark.parametrize("send", [in_one_piece, in_halves, in_chunks])
 async def test_request_behind_one_without_room_is_answered(fleet, small_gateway, send):
-    async with Caller.connect(fleet) as caller:
+    async with connect(fleet) as caller:
         # An account may have half of the memory for bodies.
         await caller.send(*send(MAX_BODY_BYTES, path="/unsafe/1"))
-        assert await caller.read() == (503, False)
+        assert await outcome(caller) == (503, False)
         await caller.send(booking())
-        assert await caller.read() == (200, False)
+        assert await outcome(caller) == (200, False)
 
 
 # Guards against: a body that makes room for others, and whose caller isn't told that
 # its connection ends.
 async def test_caller_whose_body_makes_room_is_told_of_the_close(fleet, small_gateway):
-    async with Caller.connect(fleet) as stalled, Caller.connect(fleet) as other:
+    async with connect(fleet) as stalled, connect(fleet) as other:
         await stalled.send(in_halves(MAX_BODY_BYTES, path="/open/1", key="")[0])
         await asyncio.sleep(STALLED_SECONDS + 0.1)
         await other.send(*in_one_piece(MAX_BODY_BYTES, path="/open/1", key=""))
-        assert await other.read() == (200, False)
-        assert await stalled.read() == (503, True)
+        assert await outcome(other) == (200, False)
+        assert await outcome(stalled) == (503, True)
 
 
 EXPECTING = request_bytes(
@@ -191,16 +157,16 @@
     ids=["413", "413 in halves", "413 in chunks", "404 large", "408", "expecting"],
 )
 async def test_close_is_announced_where_the_rest_is_not_read(fleet, parts, status):
-    async with Caller.connect(fleet) as caller:
+    async with connect(fleet) as caller:
         await caller.send(*parts)
-        assert await caller.read() == (status, True)
+        assert await outcome(caller) == (status, True)
         assert await caller.is_closed()
     assert not fleet.exchanges()
 
 
 # Guards against: a refused body that stops holds its connection for long.
 async def test_refused_body_that_stops_is_given_up(fleet):
-    async with Caller.connect(fleet) as caller:
+    async with connect(fleet) as caller:
         await caller.send(in_halves(600, **REFUSED_REQUESTS[404])[0])
-        assert await caller.read() == (404, False)
+        assert await outcome(caller) == (404, False)
         assert await caller.is_closed()
