Call what stands already, in place of writing it again

- The time of the last confirmation of the state stood in GatewayState and in Continuity, computed twice in one method: it is Continuity's now.
- The server of callers' connections notes their begin and end in aiohttp's own two hooks, not by a call from each connection.
- Tests: waiting for a config (five places) and reading the internal errors (three) are methods of the harness; engines with a version are registered by the fleet's own method, not by a copy of it; an argument that nobody passed is gone.
No expectation has changed.

--- a/dotterelpitch/gateway/caller_protocol.py
+++ b/dotterelpitch/gateway/caller_protocol.py
@@ -55,11 +55,6 @@
         super().connection_made(transport)
         self._server.make_room()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Forget the connection; all that was written has been sent, or is lost."""
-        super().connection_lost(exc)
-        self._server.record_closed(self)
-
     def data_received(self, data: bytes) -> None:
         """Parse input, at once if that is cheap."""
         if self._is_discarding:
@@ -148,13 +143,21 @@
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
-        connection = CallerProtocol(self, loop=self._loop, **self._kwargs)
-        self._open.add(connection)
-        return connection
+        return CallerProtocol(self, loop=self._loop, **self._kwargs)
+
+    def connection_made(
+        self, handler: RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Record that a connection has begun."""
+        super().connection_made(handler, transport)
+        self._open.add(handler)
 
-    def record_closed(self, connection: RequestHandler) -> None:
-        """Note that a connection has ended."""
-        self._open.discard(connection)
+    def connection_lost(
+        self, handler: RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Record that a connection has ended; what was written is sent, or lost."""
+        super().connection_lost(handler, exc)
+        self._open.discard(handler)
         if not self._open:
             self._all_closed.set()
 
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -205,7 +205,7 @@
         if reach.is_reached_since(engine.failure_domain, since):
             return True
         is_own = engine.failure_domain == reach.own_domain
-        return is_own and self._state.confirmed_at >= since
+        return is_own and self._state.continuity.confirmed_at >= since
 
 
 def _has_responded(engine: Engine, result: CheckResult) -> bool:
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -40,7 +40,7 @@
     ``cold_engines`` the engines that bear few.
     ``lacks_evacuations`` is whether records have come from a peer that passes none on.
 
-    ``continuity`` tells whether it may be outdated by a gap.
+    ``continuity`` tells when it was confirmed, and whether a gap may have outdated it.
 
     ``position`` is where in the store's history all changes are applied.
     ``changed`` is set, and replaced by a new event, on each new revision or config and
@@ -64,7 +64,6 @@
         self.changed = asyncio.Event()
         self.position = StorePosition()
         self._removals = EngineRemovals(clock)
-        self.confirmed_at = float("-inf")
         self.continuity = Continuity(clock)
 
     @property
@@ -75,7 +74,7 @@
     @property
     def age_s(self) -> float:
         """Seconds since the store last confirmed this state, here or at a peer."""
-        return self.clock.monotonic() - self.confirmed_at
+        return self.clock.monotonic() - self.continuity.confirmed_at
 
     @property
     def age_ms(self) -> int:
@@ -275,8 +274,6 @@
     def confirm(self, position: StorePosition, age_s: float = 0.0) -> None:
         """Record that the state of ``position`` was current ``age_s`` seconds ago."""
         self.continuity.record_confirmed(age_s)
-        confirmed_at = self.clock.monotonic() - age_s
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if position > self.position:
             self.position = position
             self.notify_peers()
--- a/dotterelpitch/routing/continuity.py
+++ b/dotterelpitch/routing/continuity.py
@@ -22,6 +22,9 @@
 class Continuity:
     """Records that the process runs and that its state is confirmed.
 
+    ``confirmed_at`` is the latest time, of the monotonic clock in seconds, at which the
+    state is known to have been current.
+
     >>> from dotterelpitch.clock import ManualClock
     >>> clock = ManualClock()
     >>> continuity = Continuity(clock)
@@ -33,8 +36,8 @@
     """
 
     _clock: Clock
+    confirmed_at: float = float("-inf")
     _ran_at: float = float("-inf")
-    _confirmed_at: float = float("-inf")
     _gap_ended_at: float = float("-inf")
 
     def record_running(self) -> None:
@@ -49,7 +52,7 @@
         now = self._clock.monotonic()
         if self._is_silent(now) or self._is_stalled(now):
             self._gap_ended_at = now
-        self._confirmed_at = max(self._confirmed_at, now - age_s)
+        self.confirmed_at = max(self.confirmed_at, now - age_s)
 
     def has_gap(self) -> bool:
         """Return whether there is a gap now, or was until a moment ago."""
@@ -61,4 +64,4 @@
         return now - self._ran_at > MAX_STANDSTILL_SECONDS
 
     def _is_silent(self, now: float) -> bool:
-        return now - self._confirmed_at > MAX_SILENCE_SECONDS
+        return now - self.confirmed_at > MAX_SILENCE_SECONDS
--- a/tests/harness/gateway_fleet.py
+++ b/tests/harness/gateway_fleet.py
@@ -16,6 +16,7 @@
 KEY = "key-1"
 ACCOUNT = "packers"
 START_SECONDS = 15.0
+CONFIG_SECONDS = 5.0
 GRACE_SECONDS = 5
 
 ROUTES = {
@@ -131,6 +132,14 @@
 
         await eventually(has_status, START_SECONDS, f"{self._name} answers {status}")
 
+    async def wait_config(self, version: int) -> None:
+        """Return once a config of this version is in force."""
+
+        def is_in_force() -> bool:
+            return any(e["version"] == version for e in self.process.events(211))
+
+        await eventually(is_in_force, CONFIG_SECONDS, f"config {version} is in force")
+
 
 class GatewayFleet:
     """A store, two engines, and the gateways started by a test."""
@@ -167,8 +176,10 @@
         self.gateways.append(gateway)
         return gateway
 
-    def register_engine(self, engine: ScriptedEngine, state: str = "ready") -> None:
-        """Write the store record of an engine."""
+    def register_engine(
+        self, engine: ScriptedEngine, state: str = "ready", version: str = ""
+    ) -> None:
+        """Write the store record of an engine, with its software version if any."""
         content = {
             "service": "calls",
             "address": engine.address,
@@ -176,12 +187,18 @@
             "state": state,
             "capacity": 4,
         }
+        if version:
+            content["version"] = version
         self.store.put(f"servers/{engine.id}", content)
 
     def exchanges(self) -> list:
         """Return the requests received by all engines."""
         return [e for engine in self.engines for e in engine.exchanges]
 
+    def request_errors(self) -> list:
+        """Return the internal errors that the gateways have logged."""
+        return [e for gateway in self.gateways for e in gateway.process.events(502)]
+
     async def stop(self) -> None:
         """Stop everything that was started."""
         for gateway in self.gateways:
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -34,7 +34,7 @@
     """A fleet whose gateways must log no internal error and only JSON lines."""
     fleet = GatewayFleet(tmp_path)
     yield fleet
-    request_errors = [e for g in fleet.gateways for e in g.process.events(502)]
+    request_errors = fleet.request_errors()
     lines = [line for g in fleet.gateways for line in g.process.lines]
     await fleet.stop()
     assert not request_errors
@@ -364,9 +364,7 @@
     config = make_config(2)
     config["limits"] |= limits
     fleet.store.put("op/config", config)
-    await eventually(
-        lambda: any(e["version"] == 2 for e in gateway.process.events(211)), 5.0
-    )
+    await gateway.wait_config(2)
     host, _, port = gateway.caller_address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(sent)
@@ -462,9 +460,7 @@
 async def test_no_key_is_valid_while_no_account_has_one(fleet, tenants, is_first):
     gateway = await fleet.start()
     fleet.store.put("op/config", make_config(2) | {"tenants": tenants})
-    await eventually(
-        lambda: any(e["version"] == 2 for e in gateway.process.events(211)), 5.0
-    )
+    await gateway.wait_config(2)
     if is_first:
         gateway = fleet.add_gateway(fleet.store.address)
         await gateway.process.start()
@@ -483,9 +479,7 @@
     config = make_config(2)
     del config["tenants"]
     fleet.store.put("op/config", config)
-    await eventually(
-        lambda: any(e["version"] == 2 for e in gateway.process.events(211)), 5.0
-    )
+    await gateway.wait_config(2)
     response = await send_raw(gateway.caller_address, request_bytes("/safe/1", key=""))
     assert response.startswith(b"HTTP/1.1 200 ")
 
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -7,13 +7,10 @@
 from dotterelpitch.gateway.body_memory import STALLED_SECONDS
 from tests.harness.gateway_fleet import GatewayFleet, make_config, request_bytes
 from tests.harness.kept_caller import KeptCaller
-from tests.harness.waiting import eventually
 
 # Bodies above this are too large.
 MAX_BODY_BYTES = 1_000_000
 BOOKING_BYTES = 600
-
-
 # The memory of a VM whose bodies take less than two of the largest.
 SMALL_MEMORY_MB = 8
 
@@ -26,11 +23,9 @@
     config["limits"] = {"max_body_bytes": MAX_BODY_BYTES, "header_timeout_ms": 1000}
     fleet.store.put("op/config", config)
     gateway = fleet.gateways[0]
-    await eventually(
-        lambda: any(e["version"] == 2 for e in gateway.process.events(211)), 5.0
-    )
+    await gateway.wait_config(2)
     yield fleet
-    request_errors = gateway.process.events(502)
+    request_errors = fleet.request_errors()
     await fleet.stop()
     assert not request_errors
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -25,7 +25,7 @@
 async def fleet(tmp_path):
     fleet = GatewayFleet(tmp_path)
     yield fleet
-    request_errors = fleet.gateways[0].process.events(502)
+    request_errors = fleet.request_errors()
     await fleet.stop()
     assert not request_errors
 
@@ -41,8 +41,8 @@
         yield [await stack.enter_async_context(c) for c in connections]
 
 
-def booking(**changes):
-    return request_bytes("/unsafe/1", "POST", bytes(BODY_BYTES), close=False, **changes)
+def booking():
+    return request_bytes("/unsafe/1", "POST", bytes(BODY_BYTES), close=False)
 
 
 async def stops_accepting(fleet):
@@ -81,9 +81,7 @@
     config = make_config(2)
     config["limits"]["header_timeout_ms"] = LONG_HEADER_TIMEOUT_MS
     fleet.store.put("op/config", config)
-    await eventually(
-        lambda: any(e["version"] == 2 for e in gateway.process.events(211)), 5.0
-    )
+    await gateway.wait_config(2)
     caller = callers[0]
     gateway.process.send_signal(signal.SIGTERM)
     await caller.send(booking()[: -BODY_BYTES // 2])
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -43,17 +43,6 @@
     exchange.reset()
 
 
-def register(fleet, engine, version, state="ready"):
-    record = {
-        "service": "calls",
-        "address": engine.address,
-        "zone": "a",
-        "state": state,
-        "version": version,
-    }
-    fleet.store.put(f"servers/{engine.id}", record)
-
-
 @pytest.fixture
 async def cut_off(fleet):
     """A second gateway, without peers, and the proxy between it and the store."""
@@ -74,12 +63,12 @@
     await newcomer.start(free_address())
     try:
         for engine in fleet.engines:
-            register(fleet, engine, "v1")
+            fleet.register_engine(engine, version="v1")
         await pause(RETENTION_SECONDS + 2.0)
         proxy.cut()
-        register(fleet, newcomer, "v2")
+        fleet.register_engine(newcomer, version="v2")
         for engine in fleet.engines:
-            register(fleet, engine, "v1", state="draining")
+            fleet.register_engine(engine, "draining", "v1")
         await pause(MAX_SILENCE_SECONDS + 0.25)
         headers = ("Deadline-Ms: 6000",)
         request = request_bytes("/resumable/1", headers=headers)
@@ -98,7 +87,7 @@
 async def test_paused_stream_waits_for_the_only_engine_of_its_version(fleet):
     for engine, version in zip(fleet.engines, ("v1", "v2"), strict=True):
         engine.behavior = pause_in_stream
-        register(fleet, engine, version)
+        fleet.register_engine(engine, version=version)
     await pause(0.5)
     request = request_bytes("/resumable/1", headers=("Deadline-Ms: 6000",))
     response = await send_raw(fleet.gateways[0].caller_address, request)
