Log why no further attempt follows one that failed

A stream that broke off was logged with the failure of its last attempt, not with why it went on nowhere: its content was banned, no retry was left, or no other engine took it.

--- a/dotterelpitch/gateway/call_log.py
+++ b/dotterelpitch/gateway/call_log.py
@@ -66,10 +66,11 @@
     result: AttemptResult,
     now: float,
     engine_id: str = "",
+    no_retry_reason: str = "",
 ) -> None:
     """Log the outcome at ``now``; ``first_s`` is the time to the first byte.
 
-    Times are in seconds.
+    ``no_retry_reason`` is why no attempt followed a failed one. Times are in seconds.
     """
     first_s = writer.started_at - call.started if writer.is_started else None
     log_event(
@@ -80,6 +81,7 @@
         status=result.status,
         engine=engine_id,
         reason=result.reason,
+        no_retry=no_retry_reason,
         connect_s=_rounded(result.connect_s),
         first_s=_rounded(first_s),
         longest_pause_s=_rounded(result.longest_pause_s),
--- a/dotterelpitch/gateway/call_progress.py
+++ b/dotterelpitch/gateway/call_progress.py
@@ -17,7 +17,8 @@
     not sent. ``may_have_run`` is whether an engine may have run the request.
     ``version`` is the engine version that has begun the stream, or None before that.
     ``may_use_peers`` is whether the call may be forwarded to a peer; ``asked_vms`` are
-    the peers that it was offered to.
+    the peers that it was offered to. ``no_retry_reason`` is why no attempt follows the
+    last one; empty before that is known.
     """
 
     events: EventStreamFilter
@@ -33,3 +34,4 @@
     asked_vms: list[str] = field(factory=list)
     is_delivered: bool = False
     last_result: AttemptResult | None = None
+    no_retry_reason: str = ""
--- a/dotterelpitch/gateway/call_rules.py
+++ b/dotterelpitch/gateway/call_rules.py
@@ -246,9 +246,12 @@
         """Return why a call must not be sent at all, or an empty string."""
         return _first_reason(self.first, call, progress)
 
-    def may_retry(self, call: Call, progress: CallProgress) -> bool:
-        """Return whether to make another attempt; it is charged to the budget."""
-        return not _first_reason(self.retry, call, progress)
+    def no_retry_reason(self, call: Call, progress: CallProgress) -> str:
+        """Return why not to make another attempt, or an empty string.
+
+        An attempt that may be made is charged to the budget.
+        """
+        return _first_reason(self.retry, call, progress)
 
 
 def _first_reason(rules: Sequence[CallRule], call: Call, progress: CallProgress) -> str:
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -58,6 +58,8 @@
 UNREPORTED_SECONDS = 0.5
 
 NO_ENGINE_REASON = "no engine is known"
+NO_OTHER_ENGINE_REASON = "no other engine takes it"
+PEER_STREAM_REASON = "a peer has begun the stream"
 
 
 class Forwarder:
@@ -145,7 +147,11 @@
             progress.sent_count += 1
             progress.may_have_run = True
             log_failure(call, vm.name, progress, writer.is_started)
-            if writer.is_started or not self._rules.may_retry(call, progress):
+            if writer.is_started:
+                progress.no_retry_reason = PEER_STREAM_REASON
+            else:
+                progress.no_retry_reason = self._rules.no_retry_reason(call, progress)
+            if progress.no_retry_reason:
                 await self._give_up(call, progress, writer)
                 return True
         return False
@@ -162,6 +168,18 @@
         now = self._clock.monotonic()
         log_end(call, writer, "completed", result, now, engine_id)
 
+    def _log_failed(
+        self,
+        call: Call,
+        progress: CallProgress,
+        writer: ResponseWriter,
+        outcome: str,
+        result: AttemptResult,
+    ) -> None:
+        now = self._clock.monotonic()
+        reason = progress.no_retry_reason
+        log_end(call, writer, outcome, result, now, no_retry_reason=reason)
+
     async def _forward(
         self, call: Call, progress: CallProgress, writer: ResponseWriter
     ) -> None:
@@ -169,12 +187,14 @@
         while True:
             choice = self._choose(call, progress)
             if choice is None:
+                progress.no_retry_reason = NO_OTHER_ENGINE_REASON
                 break
             result = await self._attempt(call, choice, progress, writer)
             if result.outcome is AttemptOutcome.DELIVERED:
                 self._log_delivered(call, progress, writer, result, choice.engine.id)
                 return
-            if not self._rules.may_retry(call, progress):
+            progress.no_retry_reason = self._rules.no_retry_reason(call, progress)
+            if progress.no_retry_reason:
                 break
             if await self._forward_to_peers(call, progress, writer):
                 return
@@ -284,13 +304,7 @@
         self, call: Call, progress: CallProgress, writer: ResponseWriter
     ) -> None:
         if writer.is_started:
-            log_end(
-                call,
-                writer,
-                "broken-off",
-                progress.last_result,
-                self._clock.monotonic(),
-            )
+            self._log_failed(call, progress, writer, "broken-off", progress.last_result)
             writer.abort()
             return
         last_result = progress.last_result
@@ -299,7 +313,7 @@
             final = final_response(last_result.outcome, progress.may_have_run)
         failure = progress.failed_result
         if failure is not None and final is not FinalResponse.TIMEOUT:
-            log_end(call, writer, "failed", failure, self._clock.monotonic())
+            self._log_failed(call, progress, writer, "failed", failure)
             await writer.send_response(failure.status, failure.headers, failure.body)
             return
         reason = (
--- a/tests/test_call_rules.py
+++ b/tests/test_call_rules.py
@@ -196,10 +196,12 @@
 def test_budget_is_charged_only_if_all_other_rules_allow_a_retry():
     budget = Budget(1)
     progress = make_progress(LOST, may_have_run=True)
-    assert not make_rules(budget, is_banned=True).may_retry(make_call(), progress)
-    assert not make_rules(budget).may_retry(make_call(is_retryable=False), progress)
+    banned = make_rules(budget, is_banned=True).no_retry_reason(make_call(), progress)
+    assert banned == BannedContentRule.reason
+    once = make_call(is_retryable=False)
+    assert make_rules(budget).no_retry_reason(once, progress) == IdempotencyRule.reason
     assert budget.left == 1
-    assert make_rules(budget).may_retry(make_call(), progress)
+    assert not make_rules(budget).no_retry_reason(make_call(), progress)
     assert budget.left == 0
 
 
