Show that streams are cut while their sound engines are silent

What callers saw: 200, some events, and a close. Its own engine goes on after 2 s.

By no_retry of request_ended: "no retry is left", "no other engine takes it" three times, "its deadline is too near".

--- a/tests/harness/scripted_engine.py
+++ b/tests/harness/scripted_engine.py
@@ -69,8 +69,8 @@
 
     ``script`` holds the behaviors of the next requests; all later requests get
     ``behavior``. ``exchanges`` records all requests but health checks, which the
-    engine answers by itself and ``health_checks`` counts; ``connections`` counts all
-    accepted connections.
+    engine answers by itself, unless ``answers_checks`` is False, and ``health_checks``
+    counts; ``connections`` counts all accepted connections.
     """
 
     def __init__(self, engine_id: str, behavior: Behavior = answer) -> None:
@@ -79,6 +79,7 @@
         self.address = ""
         self.script: list[Behavior] = []
         self.exchanges: list[EngineExchange] = []
+        self.answers_checks = True
         self.health_checks = 0
         self.connections = 0
         self._server: asyncio.Server | None = None
@@ -115,6 +116,8 @@
 
     def _answer_health_check(self, exchange: EngineExchange) -> None:
         self.health_checks += 1
+        if not self.answers_checks:
+            return
         head = f"HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\nContent-Length: 0\r\n\r\n"
         exchange.writer.write(head.encode())
 
--- /dev/null
+++ b/tests/test_silent_engines.py
@@ -0,0 +1,117 @@
+"""Engines that fall silent and go on: a stream that began there reaches its end.
+
+Each case has another reason why no other engine can go on with the stream meanwhile.
+"""
+
+import asyncio
+import signal
+
+import pytest
+
+from tests.harness.gateway_fleet import GatewayFleet, request_bytes, send_raw
+from tests.harness.scripted_engine import EngineExchange
+from tests.harness.waiting import eventually, pause
+
+# Longer than a stream may stall before another engine may go on with it.
+SILENCE_SECONDS = 2.0
+EVENTS = [f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2)]
+NO_RETRIES = {
+    "grace_s": 5,
+    "retry_budget": 0.0,
+    "retry_slack": 0,
+    "budget_window_s": 10,
+    "cap_x": 2,
+}
+
+
+def stream_with_silence(seconds: float):
+    """Return a behavior that sends two events with a silence between them."""
+
+    async def behavior(exchange: EngineExchange) -> None:
+        exchange.write_head("200 OK", "Transfer-Encoding: chunked")
+        exchange.write_chunk(EVENTS[0])
+        await pause(seconds)
+        if not exchange.writer.is_closing():
+            exchange.write_chunk(EVENTS[1])
+            exchange.write_chunk(b"")
+
+    return behavior
+
+
+async def hang(exchange: EngineExchange) -> None:
+    """Answer nothing until the caller leaves."""
+    await exchange.caller_left.wait()
+
+
+async def want_pause(exchange: EngineExchange) -> None:
+    """Reject the request, and ask for a pause beyond the silence."""
+    lines = ("Not-Executed: 1", "Retry-After: 8", "Content-Length: 0")
+    exchange.write_head("503 Service Unavailable", *lines)
+
+
+async def spend_the_retries(fleet, other):
+    """Leave the fleet no retry."""
+    gateway = fleet.gateways[0]
+    gateway.write_settings(fleet.store.address, [], bounds=NO_RETRIES)
+    gateway.process.send_signal(signal.SIGHUP)
+    await eventually(lambda: gateway.process.events(104), 1.0, "the settings are read")
+
+
+async def stop_listening(fleet, other):
+    """Let the other engine end, while its record stays."""
+    await other.stop()
+
+
+async def stop_answering(fleet, other):
+    """Let the other engine answer nothing, status checks included."""
+    other.behavior = hang
+    other.answers_checks = False
+
+
+async def ask_for_a_pause(fleet, other):
+    """Let the other engine ask the gateway for a pause."""
+    other.behavior = want_pause
+    address = fleet.gateways[0].caller_address
+    await send_raw(address, request_bytes("/open/1", key=""))
+    assert other.exchanges
+
+
+async def make_it_leave(fleet, other):
+    """Let the other engine leave."""
+    fleet.register_engine(other, state="draining")
+
+
+REASONS = [
+    spend_the_retries,
+    stop_listening,
+    stop_answering,
+    ask_for_a_pause,
+    make_it_leave,
+]
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    """A fleet with one gateway, whose store and engines run."""
+    fleet = GatewayFleet(tmp_path)
+    await fleet.start()
+    yield fleet
+    await fleet.stop()
+
+
+# Guards against: a stream is cut since its engine is silent for a while, although no
+# other engine can go on with it.
+@pytest.mark.parametrize("prevent", REASONS)
+async def test_stream_stays_at_its_silent_engine_if_no_other_can_go_on(fleet, prevent):
+    for engine in fleet.engines:
+        engine.behavior = stream_with_silence(SILENCE_SECONDS)
+    request = request_bytes("/resumable/1", headers=("Deadline-Ms: 4500",))
+    address = fleet.gateways[0].caller_address
+    calling = asyncio.create_task(send_raw(address, request))
+    await eventually(fleet.exchanges, 2.0, "the stream has begun")
+    silent, other = sorted(fleet.engines, key=lambda e: len(e.exchanges), reverse=True)
+    await prevent(fleet, other)
+    response = await calling
+    assert EVENTS[1].strip() in response
+    assert response.endswith(b"0\r\n\r\n")
+    assert len(silent.exchanges) == 1
