Leave a silent engine only once it is known where the call goes on

What callers saw: 200, some events of a stream, and a close, while the engine was sound and only silent for a while; also 504 for streams that hadn't begun.

If there was none, the answer was cut, though its own engine went on. The class: giving up what one has before knowing that there is something in its place.

Evidence: the five cases of test_silent_engines failed on, with no_retry "no retry is left", "no other engine takes it" (ended, asks for a pause, leaves), and "its deadline is too near" (moved to an engine that is silent too).

Now the attempt asks SuccessorFinder once it has been silent too long. It is left if a retry is allowed, which is charged at once, and an engine can take the call that, for a stream, has sent something just now or responds to a check, or if a peer reaches engines and this VM doesn't. Else it waits on, asks again each 0.25 s, and ends at its deadline. What came in the meantime is read first.

Choosing an engine for a call is a module of its own (EngineSelection), since two need it.

After: the five cases pass, as do test_stream_versions and test_gateway_process (100 passed).

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -18,6 +18,7 @@
 from dotterelpitch.gateway.digest_exchange import DigestExchange
 from dotterelpitch.gateway.engine_contact_exchange import EngineContactExchange
 from dotterelpitch.gateway.engine_contact_watcher import EngineContactWatcher
+from dotterelpitch.gateway.engine_selection import EngineSelection
 from dotterelpitch.gateway.engine_speed_exchange import EngineSpeedExchange
 from dotterelpitch.gateway.engine_status_recorder import EngineStatusRecorder
 from dotterelpitch.gateway.engine_tracker import EngineTracker
@@ -38,11 +39,12 @@
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.settings import GatewaySettings
 from dotterelpitch.gateway.settings_reload import SettingsReloader
-from dotterelpitch.gateway.shared_checks import SharedChecks
+from dotterelpitch.gateway.shared_checks import RunCheck, SharedChecks
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.store_watcher import StoreWatcher
 from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
 from dotterelpitch.gateway.stream_resumption import StreamResumption
+from dotterelpitch.gateway.successor_finder import SuccessorFinder
 from dotterelpitch.gateway.version_history_exchange import VersionHistoryExchange
 from dotterelpitch.platform.store import StoreClient
 from dotterelpitch.protocol.forwarded_call_messages import ForwardCall
@@ -163,7 +165,7 @@
             self.engine_speeds,
             body_memory,
         )
-        forwarder = self._create_forwarder(status_recorder)
+        forwarder = self._create_forwarder(status_recorder, checks.run)
         self.ingress = Ingress(self._clock, self.state, forwarder, body_memory)
         self.peer_calls = PeerCallServer(
             self._clock,
@@ -234,7 +236,9 @@
         self._peer_pool.close()
         log_event(Event.PROCESS_STOPPED, vm=self._vm.vm_name, role="gateway")
 
-    def _create_forwarder(self, status_recorder: EngineStatusRecorder) -> Forwarder:
+    def _create_forwarder(
+        self, status_recorder: EngineStatusRecorder, run_check: RunCheck
+    ) -> Forwarder:
         stream_resumption = StreamResumption(
             self.state,
             self.stream_origins,
@@ -260,10 +264,24 @@
             self.state.directory,
             self.engine_speeds,
         )
+        selection = EngineSelection(self._create_chooser())
+        peer_forwarder = PeerForwarder(
+            self._clock, self.contact, self._fleet, self.links, self._peer_pool
+        )
+        successor_finder = SuccessorFinder(
+            self._clock,
+            self.state,
+            selection,
+            rules,
+            self.engine_tracker,
+            self.rate_limits,
+            peer_forwarder,
+            run_check,
+        )
         return Forwarder(
             self._clock,
             self.state,
-            self._create_chooser(),
+            selection,
             self.loads,
             self.engine_tracker,
             self.retry_budget,
@@ -272,9 +290,8 @@
             attempt_runner,
             self.rate_limits,
             stream_resumption,
-            PeerForwarder(
-                self._clock, self.contact, self._fleet, self.links, self._peer_pool
-            ),
+            peer_forwarder,
+            successor_finder,
         )
 
     def _create_chooser(self) -> EngineChooser:
--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -1,7 +1,5 @@
 """Runs one attempt: sends a request to one engine and passes its response on."""
 
-import asyncio
-
 from attrs import evolve
 
 from dotterelpitch.clock import Clock
@@ -184,9 +182,10 @@
         events: EventStreamFilter,
         observer: AttemptObserver,
     ) -> AttemptResult:
-        seconds = self._responses.seconds_until(limits.answer_by)
-        async with asyncio.timeout(seconds):
-            head = await connection.read_head()
+        patience_s = self._responses.seconds_until(limits.answer_by)
+        head = await self._responses.wait(
+            connection.read_head, connection, limits, patience_s
+        )
         response_class = classify_response(head.status, head.value_by_name)
         observer.head_received(
             response_class, decode_engine_status(head.status, head.headers)
--- a/dotterelpitch/gateway/call_progress.py
+++ b/dotterelpitch/gateway/call_progress.py
@@ -4,6 +4,7 @@
 
 from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
+from dotterelpitch.routing.engine_choice import EngineChoice
 
 
 @define
@@ -18,7 +19,9 @@
     ``version`` is the engine version that has begun the stream, or None before that.
     ``may_use_peers`` is whether the call may be forwarded to a peer; ``asked_vms`` are
     the peers that it was offered to. ``no_retry_reason`` is why no attempt follows the
-    last one; empty before that is known.
+    last one; empty before that is known. While an attempt is in progress,
+    ``is_retry_reserved`` is whether the next one has been charged already, and
+    ``next_choice`` the engine that was chosen for it.
     """
 
     events: EventStreamFilter
@@ -35,3 +38,10 @@
     is_delivered: bool = False
     last_result: AttemptResult | None = None
     no_retry_reason: str = ""
+    is_retry_reserved: bool = False
+    next_choice: EngineChoice | None = None
+
+    def take_next_choice(self) -> EngineChoice | None:
+        """Return the engine that was chosen for the next attempt, once."""
+        choice, self.next_choice = self.next_choice, None
+        return choice
--- /dev/null
+++ b/dotterelpitch/gateway/engine_selection.py
@@ -0,0 +1,50 @@
+"""Selects the engine for the next attempt of a call, by what its attempts have met."""
+
+import random
+from collections.abc import Collection
+
+from attrs import define
+
+from dotterelpitch.gateway.call import Call
+from dotterelpitch.gateway.call_progress import CallProgress
+from dotterelpitch.routing.engine_choice import EngineChoice, EngineChooser
+
+# Share of the non-retryable requests that may probe a suspect engine.
+UNSAFE_PROBE_SHARE = 0.1
+
+
+@define
+class EngineSelection:
+    """Selects engines for calls."""
+
+    _chooser: EngineChooser
+
+    def select_untried(
+        self, call: Call, progress: CallProgress, avoided: Collection[str] = ()
+    ) -> EngineChoice | None:
+        """Return an engine that the call hasn't tried, or None.
+
+        ``avoided`` are the ids of further engines that it mustn't be.
+        """
+        may_probe = call.route.is_retryable or random.random() < UNSAFE_PROBE_SHARE
+        return self._chooser.choose(
+            call.service,
+            call.shared_parts,
+            [*progress.tried_ids, *avoided],
+            progress.unreachable_domains,
+            may_probe,
+            progress.version,
+        )
+
+    def select(self, call: Call, progress: CallProgress) -> EngineChoice | None:
+        """Return an untried engine, else one that answered with an error, else None.
+
+        An error may not recur, so that engine can be tried again; others can't.
+        """
+        choice = self.select_untried(call, progress)
+        if choice is not None or not progress.failed_ids:
+            return choice
+        excluded_ids = [i for i in progress.tried_ids if i not in progress.failed_ids]
+        return self._chooser.choose(
+            call.service, call.shared_parts, excluded_ids, version=progress.version
+        )
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards a call to engines, with retries, until the caller has a response."""
 
-import random
+from collections.abc import Callable
+from functools import partial
 
 from attrs import evolve
 
@@ -11,6 +12,7 @@
 from dotterelpitch.gateway.call_log import log_choice, log_end, log_failure
 from dotterelpitch.gateway.call_progress import CallProgress
 from dotterelpitch.gateway.call_rules import CallRules, RateLimitRule
+from dotterelpitch.gateway.engine_selection import EngineSelection
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
 from dotterelpitch.gateway.peer_forwarder import PeerForwarder
@@ -21,13 +23,14 @@
     NO_ENGINE_OF_VERSION_REASON,
     StreamResumption,
 )
+from dotterelpitch.gateway.successor_finder import SuccessorFinder
 from dotterelpitch.routing.attempt_outcomes import (
     RETRY_RULE_BY_OUTCOME,
     AttemptOutcome,
     FinalResponse,
     final_response,
 )
-from dotterelpitch.routing.engine_choice import EngineChoice, EngineChooser
+from dotterelpitch.routing.engine_choice import EngineChoice
 from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
@@ -48,8 +51,6 @@
 CONNECTION_SHARE = 0.8
 # Each gateway may open this many connections to an engine, however small its share.
 MIN_CONNECTIONS = 4
-# Share of the non-retryable requests that may probe a suspect engine.
-UNSAFE_PROBE_SHARE = 0.1
 
 # An evacuation takes long, so a caller returns later, but well within its time.
 EVACUATED_WAIT_SHARE = 0.2
@@ -69,7 +70,7 @@
         self,
         clock: Clock,
         state: GatewayState,
-        chooser: EngineChooser,
+        selection: EngineSelection,
         loads: FleetLoads,
         engine_tracker: EngineTracker,
         retry_budget: FleetRetryBudget,
@@ -79,10 +80,11 @@
         rate_limits: FleetRateLimits,
         stream_resumption: StreamResumption,
         peer_forwarder: PeerForwarder,
+        successor_finder: SuccessorFinder,
     ) -> None:
         self._clock = clock
         self._state = state
-        self._chooser = chooser
+        self._selection = selection
         self._loads = loads
         self._engine_tracker = engine_tracker
         self._retry_budget = retry_budget
@@ -92,6 +94,7 @@
         self._rate_limits = rate_limits
         self._stream_resumption = stream_resumption
         self._peer_forwarder = peer_forwarder
+        self._successor_finder = successor_finder
 
     async def forward(
         self, call: Call, writer: ResponseWriter, progress: CallProgress | None = None
@@ -185,7 +188,9 @@
     ) -> None:
         """Make attempts until one is delivered or none may follow."""
         while True:
-            choice = self._choose(call, progress)
+            choice = progress.take_next_choice() or self._selection.select(
+                call, progress
+            )
             if choice is None:
                 progress.no_retry_reason = NO_OTHER_ENGINE_REASON
                 break
@@ -193,39 +198,27 @@
             if result.outcome is AttemptOutcome.DELIVERED:
                 self._log_delivered(call, progress, writer, result, choice.engine.id)
                 return
-            progress.no_retry_reason = self._rules.no_retry_reason(call, progress)
-            if progress.no_retry_reason:
+            if not self._may_go_on(call, progress):
                 break
-            if await self._forward_to_peers(call, progress, writer):
+            if progress.next_choice is None and await self._forward_to_peers(
+                call, progress, writer
+            ):
                 return
         await self._give_up(call, progress, writer)
 
+    def _may_go_on(self, call: Call, progress: CallProgress) -> bool:
+        """Return whether another attempt may follow, unless none can be made."""
+        if progress.is_retry_reserved:
+            progress.is_retry_reserved = False
+            return True
+        progress.no_retry_reason = self._rules.no_retry_reason(call, progress)
+        return not progress.no_retry_reason
+
     def _has_just_begun(self, writer: ResponseWriter) -> bool:
         """Return whether a response began after the last digest to the peers."""
         age_s = self._clock.monotonic() - writer.started_at
         return writer.is_started and age_s < UNREPORTED_SECONDS
 
-    def _choose(self, call: Call, progress: CallProgress) -> EngineChoice | None:
-        """Return an untried engine, else one that answered with an error, else None.
-
-        An error may not recur, so that engine can be tried again; others can't.
-        """
-        may_probe = call.route.is_retryable or random.random() < UNSAFE_PROBE_SHARE
-        choice = self._chooser.choose(
-            call.service,
-            call.shared_parts,
-            progress.tried_ids,
-            progress.unreachable_domains,
-            may_probe,
-            progress.version,
-        )
-        if choice is not None or not progress.failed_ids:
-            return choice
-        excluded_ids = [i for i in progress.tried_ids if i not in progress.failed_ids]
-        return self._chooser.choose(
-            call.service, call.shared_parts, excluded_ids, version=progress.version
-        )
-
     async def _attempt(
         self,
         call: Call,
@@ -241,7 +234,7 @@
             result = await self._attempt_runner.run(
                 call,
                 choice,
-                self._limits(call, choice, progress),
+                self._limits(call, choice, progress, writer),
                 writer,
                 progress.events,
             )
@@ -249,8 +242,7 @@
             self._loads.request_ended(engine_id)
         self._engine_tracker.record_attempt(call, choice, result)
         progress.last_result = result
-        if writer.is_started and progress.version is None:
-            progress.version = choice.engine.version
+        _record_version(choice, progress, writer)
         if result.failure is FailureKind.UNREACHABLE:
             progress.unreachable_domains.add(choice.engine.failure_domain)
         if result.outcome is AttemptOutcome.FAILED:
@@ -267,7 +259,11 @@
         return result
 
     def _limits(
-        self, call: Call, choice: EngineChoice, progress: CallProgress
+        self,
+        call: Call,
+        choice: EngineChoice,
+        progress: CallProgress,
+        writer: ResponseWriter,
     ) -> AttemptLimits:
         now = self._clock.monotonic()
         may_retry = (
@@ -287,18 +283,22 @@
             call.deadline,
             answer_by,
             max(MIN_CONNECTIONS, int(share)),
-            may_retry and self._may_others_go_on(call, choice, progress),
+            partial(self._find_successor, call, choice, progress, writer)
+            if may_retry
+            else None,
         )
 
-    def _may_others_go_on(
-        self, call: Call, choice: EngineChoice, progress: CallProgress
+    async def _find_successor(
+        self,
+        call: Call,
+        choice: EngineChoice,
+        progress: CallProgress,
+        writer: ResponseWriter,
+        is_needed: Callable[[], bool],
     ) -> bool:
-        """Return whether an untried engine has the version of the chosen one."""
-        return any(
-            engine.version == choice.engine.version
-            and engine.id not in progress.tried_ids
-            for engine in self._state.directory.usable(call.service)
-        )
+        """Return whether the attempt at ``choice`` may be left for another one."""
+        _record_version(choice, progress, writer)
+        return await self._successor_finder.find(call, progress, is_needed)
 
     async def _give_up(
         self, call: Call, progress: CallProgress, writer: ResponseWriter
@@ -348,3 +348,11 @@
         if self._state.directory.usable(call.service):
             return RateLimitRule.reason
         return NO_ENGINE_REASON
+
+
+def _record_version(
+    choice: EngineChoice, progress: CallProgress, writer: ResponseWriter
+) -> None:
+    """Record the version of the engine that has begun a response, if one has."""
+    if writer.is_started and progress.version is None:
+        progress.version = choice.engine.version
--- a/dotterelpitch/gateway/peer_forwarder.py
+++ b/dotterelpitch/gateway/peer_forwarder.py
@@ -81,6 +81,12 @@
         vms = [vm for vm in self._candidates() if vm.name not in progress.asked_vms]
         return min(vms, key=self._rank, default=None)
 
+    def can_go_on(self, progress: CallProgress) -> bool:
+        """Return whether a peer that reaches engines is known, and this VM doesn't."""
+        if not any(link.peer_reaches_engines for link in self._links.all()):
+            return False
+        return self.choose(progress) is not None
+
     async def run(
         self, vm: FleetVm, call: Call, progress: CallProgress, writer: ResponseWriter
     ) -> AttemptResult:
--- a/dotterelpitch/gateway/response_forwarding.py
+++ b/dotterelpitch/gateway/response_forwarding.py
@@ -1,6 +1,8 @@
 """Passes a response on to the caller, as it comes from an engine or a peer."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from attrs import frozen
 
@@ -17,25 +19,33 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 # An event is passed on when it is complete, so its size is bounded.
 MAX_EVENT_BYTES = 1024 * 1024
-# A resumable stream that sends nothing for this long is resumed on another engine.
+# A resumable stream that sends nothing for this long is resumed on another engine, if
+# there is one that can go on with it.
 STREAM_STALL_SECONDS = 1.5
+# While there is none, one is sought again after this time.
+SEEK_INTERVAL_SECONDS = 0.25
+
+T = TypeVar("T")
+
+FindSuccessor = Callable[[Callable[[], bool]], Awaitable[bool]]
 
 
 @frozen
 class AttemptLimits:
     """Limits of one attempt.
 
-    ``deadline`` and ``answer_by`` are times of the monotonic clock, in seconds;
-    ``answer_by`` bounds the wait for the first byte that can be passed on.
-    ``max_connections`` bounds the connections to the engine.
-    ``may_leave_stalled_stream`` allows a stalled stream to be resumed on another
-    engine.
+    ``deadline`` and ``answer_by`` are times of the monotonic clock, in seconds. The
+    attempt ends at its deadline. Before, it may be left once it has been silent too
+    long, and ``answer_by`` is when that is for the first byte that can be passed on.
+    ``find_successor`` tells whether the call can go on elsewhere then; it is passed a
+    function that returns whether the attempt is silent still. If it is None, the
+    attempt isn't left. ``max_connections`` bounds the connections to the engine.
     """
 
     deadline: float
     answer_by: float
     max_connections: int = 0
-    may_leave_stalled_stream: bool = False
+    find_successor: FindSuccessor | None = None
 
 
 class ResponseObserver:
@@ -57,14 +67,52 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
 
+    async def wait(
+        self,
+        read: Callable[[], Awaitable[T]],
+        source: ResponseSource,
+        limits: AttemptLimits,
+        patience_s: float,
+    ) -> T:
+        """Return what ``read`` reads from ``source``.
+
+        Raises TimeoutError at the deadline, or once the source has been silent for
+        ``patience_s`` seconds and the call can go on elsewhere.
+        """
+        while True:
+            timeout_s = min(patience_s, self.seconds_until(limits.deadline))
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await read()
+            except TimeoutError:
+                if await self._is_over(source, limits):
+                    raise
+            patience_s = SEEK_INTERVAL_SECONDS
+
+    async def _is_over(self, source: ResponseSource, limits: AttemptLimits) -> bool:
+        """Return whether to end an attempt that has been silent too long."""
+        remaining_s = self.seconds_until(limits.deadline)
+        if not remaining_s:
+            return True
+        if limits.find_successor is None:
+            return False
+        received = source.received_bytes
+        async with asyncio.timeout(remaining_s):
+            return await limits.find_successor(
+                lambda: source.received_bytes == received
+            )
+
     async def read_buffered(
         self, source: ResponseSource, limits: AttemptLimits
     ) -> bytes:
         """Return the body, or its beginning once ``MAX_BUFFERED_BYTES`` are read."""
         body = bytearray()
-        async with asyncio.timeout(self.seconds_until(limits.answer_by)):
-            while len(body) < MAX_BUFFERED_BYTES and (data := await source.read_body()):
-                body += data
+        while len(body) < MAX_BUFFERED_BYTES:
+            patience_s = self.seconds_until(limits.answer_by)
+            data = await self.wait(source.read_body, source, limits, patience_s)
+            if not data:
+                break
+            body += data
         return bytes(body)
 
     async def forward_response(
@@ -100,12 +148,11 @@
     ) -> float:
         """Pass events on; return the longest pause between two writes, in seconds."""
         events.restart()
-        timeout_s = self.seconds_until(limits.answer_by)
+        patience_s = self.seconds_until(limits.answer_by)
         longest_pause_s = 0.0
         last_at = None
         while True:
-            async with asyncio.timeout(timeout_s):
-                data = await source.read_body()
+            data = await self.wait(source.read_body, source, limits, patience_s)
             if not data:
                 break
             observer.data_received()
@@ -122,9 +169,7 @@
                     observer.stream_began()
                     await writer.start(head.status, _stream_headers(head))
                 await writer.write(complete_events)
-            timeout_s = self.seconds_until(limits.deadline)
-            if limits.may_leave_stalled_stream:
-                timeout_s = min(timeout_s, STREAM_STALL_SECONDS)
+            patience_s = STREAM_STALL_SECONDS
         if events.has_partial_event:
             raise AnswerLostError("the stream ended inside an event")
         is_empty = last_at is None and not events.last_id
--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -128,6 +128,7 @@
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
+        self.received_bytes += len(data)
         if not self._is_busy or self._is_complete:
             self.is_reusable = False  # These bytes belong to no request.
             if not self._is_busy:
--- a/dotterelpitch/upstream/response_source.py
+++ b/dotterelpitch/upstream/response_source.py
@@ -7,9 +7,11 @@
     """Where a response comes from.
 
     ``has_ended_response`` is whether it was complete only by the connection's end.
+    ``received_bytes`` counts what has come from there, on all requests.
     """
 
     has_ended_response = False
+    received_bytes = 0
 
     @abstractmethod
     async def read_body(self) -> bytes:
