Show that streams are cut when engines' silence looks like lost contact

What callers saw: 200, some events, and a close, with two gateways and more.

Peers without such calls still say that they reach engines, so at 1.5 s the stream is left for a peer.

With one gateway the same silence ends whole.

--- /dev/null
+++ b/tests/test_silence_elsewhere.py
@@ -0,0 +1,68 @@
+"""Engines that fall silent and go on: where else an answer is lost for it.
+
+In each case the caller's engine is sound, and the answer would have come in time.
+"""
+
+import asyncio
+
+import pytest
+
+from tests.harness.gateway_fleet import (
+    GatewayFleet,
+    request_bytes,
+    send_raw,
+)
+from tests.harness.waiting import eventually, pause
+from tests.test_silent_engines import (
+    EVENTS,
+    hang,
+    stream_with_silence,
+    want_pause,
+)
+
+SILENCE_SECONDS = 2.2
+BUDGET = "Deadline-Ms: 4900"
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    """A fleet that each test starts."""
+    fleet = GatewayFleet(tmp_path)
+    yield fleet
+    await fleet.stop()
+
+
+async def begin(fleet, path: str, *headers: str) -> asyncio.Task:
+    """Return the task of a call at the first gateway, once an engine has it."""
+    request = request_bytes(path, headers=headers)
+    call = asyncio.create_task(send_raw(fleet.gateways[0].caller_address, request))
+    await eventually(fleet.exchanges, 2.0, "an engine has the request")
+    return call
+
+
+def assert_whole(response: bytes) -> None:
+    """Assert that a stream of two events is there with its end."""
+    assert EVENTS[1].strip() in response
+    assert response.endswith(b"0\r\n\r\n")
+
+
+# Guards against: a stream is cut since it left its silent engine for a peer that
+# refuses it, or whose engines are silent too: to a VM whose engines are all silent it
+# looks as if it reached none.
+@pytest.mark.parametrize("peer_engines_do", [want_pause, hang])
+async def test_stream_is_left_only_for_a_peer_that_takes_it(fleet, peer_engines_do):
+    await fleet.start(gateways=2)
+    first, second = fleet.gateways
+    await eventually(lambda: first.process.events(701), 5.0, "the peers are linked")
+    await pause(1.0)  # The peers have told that they reach engines.
+    for engine in fleet.engines:
+        engine.behavior = stream_with_silence(SILENCE_SECONDS)
+        engine.answers_checks = False
+    call = await begin(fleet, "/resumable/1", BUDGET)
+    for engine in fleet.engines:
+        engine.behavior = peer_engines_do
+    if peer_engines_do is want_pause:
+        for _ in fleet.engines:
+            request = request_bytes("/open/1", key="")
+            await send_raw(second.caller_address, request)
+    assert_whole(await call)
