Show that streams are left for engines that don't take them

What callers saw: 200, some events, and a close.

The silent engine's connection is closed before the next one has taken the stream. One that answers checks and then 503 "not executed" or 500 uses up max_attempts. Both fail on.

--- a/tests/test_silence_elsewhere.py
+++ b/tests/test_silence_elsewhere.py
@@ -12,6 +12,7 @@
     request_bytes,
     send_raw,
 )
+from tests.harness.scripted_engine import EngineExchange, ScriptedEngine
 from tests.harness.waiting import eventually, pause
 from tests.test_silent_engines import (
     EVENTS,
@@ -24,6 +25,17 @@
 BUDGET = "Deadline-Ms: 4900"
 
 
+async def be_full(exchange: EngineExchange) -> None:
+    """Reject the request, as a full engine does."""
+    lines = ("Not-Executed: 1", "Content-Length: 0")
+    exchange.write_head("503 Service Unavailable", *lines)
+
+
+async def fail(exchange: EngineExchange) -> None:
+    """Fail the request."""
+    exchange.write_head("500 Internal Server Error", "Content-Length: 0")
+
+
 @pytest.fixture
 async def fleet(tmp_path):
     """A fleet that each test starts."""
@@ -40,12 +52,29 @@
     return call
 
 
+def others(fleet) -> list[ScriptedEngine]:
+    """Return the engines that have had no request."""
+    return [engine for engine in fleet.engines if not engine.exchanges]
+
+
 def assert_whole(response: bytes) -> None:
     """Assert that a stream of two events is there with its end."""
     assert EVENTS[1].strip() in response
     assert response.endswith(b"0\r\n\r\n")
 
 
+# Guards against: a stream is cut since it left its silent engine for one that answers
+# status checks and then doesn't take the stream.
+@pytest.mark.parametrize("other_does", [be_full, fail])
+async def test_stream_is_left_only_for_an_engine_that_takes_it(fleet, other_does):
+    await fleet.start()
+    for engine in fleet.engines:
+        engine.behavior = stream_with_silence(SILENCE_SECONDS)
+    call = await begin(fleet, "/resumable/1", BUDGET)
+    others(fleet)[0].behavior = other_does
+    assert_whole(await call)
+
+
 # Guards against: a stream is cut since it left its silent engine for a peer that
 # refuses it, or whose engines are silent too: to a VM whose engines are all silent it
 # looks as if it reached none.
