--- a/tests/test_silence_elsewhere.py
+++ b/tests/test_silence_elsewhere.py
@@ -9,6 +9,7 @@
 
 from tests.harness.gateway_fleet import (
     GatewayFleet,
+    make_config,
     request_bytes,
     send_raw,
 )
@@ -23,6 +24,8 @@
 
 SILENCE_SECONDS = 2.2
 BUDGET = "Deadline-Ms: 4900"
+# More than the kernel holds of a connection whose receiver doesn't read.
+LONG_BODY_BYTES = 400_000
 
 
 async def be_full(exchange: EngineExchange) -> None:
@@ -95,3 +98,26 @@
             request = request_bytes("/open/1", key="")
             await send_raw(second.caller_address, request)
     assert_whole(await call)
+
+
+# Guards against: an engine that reads a long body late counts as unreachable, and the
+# caller gets 502.
+async def test_engine_that_reads_late_keeps_its_request(fleet, monkeypatch):
+    fleet.engines = [ScriptedEngine("e1")]
+    serve = fleet.engines[0]._serve_connection
+
+    async def serve_late(reader, writer):
+        writer.transport.pause_reading()
+        await pause(1.1)
+        writer.transport.resume_reading()
+        await serve(reader, writer)
+
+    monkeypatch.setattr(fleet.engines[0], "_serve_connection", serve_late)
+    await fleet.start()
+    config = make_config(2)
+    config["limits"]["max_body_bytes"] = 2 * LONG_BODY_BYTES
+    fleet.store.put("op/config", config)
+    await fleet.gateways[0].wait_config(2)
+    request = request_bytes("/unsafe/1", "POST", b"x" * LONG_BODY_BYTES)
+    response = await send_raw(fleet.gateways[0].caller_address, request)
+    assert response.startswith(b"HTTP/1.1 200")
