Show that a joined status check ends too soon

The crash watcher waits 1 s for a check. If one with 0.25 s is under way (EngineContactWatcher, SuccessorFinder), it gets the result of that one: engine_checked "silent" after 0.109 s and engine_died in the same millisecond, in a run with two sound engines silent for 2.2 s.

--- a/tests/test_silence_elsewhere.py
+++ b/tests/test_silence_elsewhere.py
@@ -4,15 +4,20 @@
 """
 
 import asyncio
+from functools import partial
 
 import pytest
 
+from dotterelpitch.clock import SystemClock
+from dotterelpitch.gateway.shared_checks import SharedChecks
+from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
 from tests.harness.gateway_fleet import (
     GatewayFleet,
     make_config,
     request_bytes,
     send_raw,
 )
+from tests.harness.ports import free_address
 from tests.harness.scripted_engine import EngineExchange, ScriptedEngine
 from tests.harness.waiting import eventually, pause
 from tests.test_silent_engines import (
@@ -121,3 +126,25 @@
     request = request_bytes("/unsafe/1", "POST", b"x" * LONG_BODY_BYTES)
     response = await send_raw(fleet.gateways[0].caller_address, request)
     assert response.startswith(b"HTTP/1.1 200")
+
+
+class LateChecks(ScriptedEngine):
+    """An engine that answers its status checks after half a second."""
+
+    def _answer_health_check(self, exchange: EngineExchange) -> None:
+        answer_now = super()._answer_health_check
+        asyncio.get_running_loop().call_later(0.5, answer_now, exchange)
+
+
+# Guards against: who may wait a second for a check learns "silent" from one that began
+# with a shorter timeout, and takes a sound engine for ended.
+async def test_joined_check_lasts_as_long_as_who_joins_it_waits():
+    engine = LateChecks("e1")
+    await engine.start(free_address())
+    checks = SharedChecks(SystemClock())
+    check = partial(EngineCheck, "e1", engine.address, "/health", lambda: True)
+    _, result = await asyncio.gather(
+        checks.run(check(patience_s=0.0, timeout_s=0.25)), checks.run(check())
+    )
+    await engine.stop()
+    assert result is CheckResult.RESPONDED
