--- a/tests/test_silence_elsewhere.py
+++ b/tests/test_silence_elsewhere.py
@@ -18,7 +18,7 @@
     send_raw,
 )
 from tests.harness.ports import free_address
-from tests.harness.scripted_engine import EngineExchange, ScriptedEngine
+from tests.harness.scripted_engine import EngineExchange, ScriptedEngine, answer
 from tests.harness.waiting import eventually, pause
 from tests.test_silent_engines import (
     EVENTS,
@@ -44,6 +44,12 @@
     exchange.write_head("500 Internal Server Error", "Content-Length: 0")
 
 
+async def answer_late(exchange: EngineExchange) -> None:
+    """Answer after a second."""
+    await pause(1.0)
+    await answer(exchange)
+
+
 @pytest.fixture
 async def fleet(tmp_path):
     """A fleet that each test starts."""
@@ -105,6 +111,19 @@
     assert_whole(await call)
 
 
+# Guards against: a safe request gets 504 since it left its silent engine for one that
+# is silent too.
+async def test_safe_request_is_not_left_for_a_silent_engine(fleet):
+    await fleet.start()
+    for engine in fleet.engines:
+        engine.behavior = answer_late
+    call = await begin(fleet, "/safe/1", "Deadline-Ms: 2500")
+    (other,) = others(fleet)
+    other.behavior = hang
+    other.answers_checks = False
+    assert (await call).startswith(b"HTTP/1.1 200")
+
+
 # Guards against: an engine that reads a long body late counts as unreachable, and the
 # caller gets 502.
 async def test_engine_that_reads_late_keeps_its_request(fleet, monkeypatch):
