Show that only the usual engine is asked to go on with a stream

Of two other engines the one that ranks first is silent: it is asked at each second, and the other one, which lives but has no traffic, never.

--- a/tests/test_silence_elsewhere.py
+++ b/tests/test_silence_elsewhere.py
@@ -12,6 +12,7 @@
 from dotterelpitch.gateway.shared_checks import SharedChecks
 from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
 from tests.harness.gateway_fleet import (
+    CHAT_ROUTES,
     GatewayFleet,
     make_config,
     request_bytes,
@@ -29,6 +30,7 @@
 
 SILENCE_SECONDS = 2.2
 BUDGET = "Deadline-Ms: 4900"
+PROMPT = ("Model: m", "Token-Usage: 10,5", "Prompt-Prefix: a1:800,b2:10")
 # More than the kernel holds of a connection whose receiver doesn't read.
 LONG_BODY_BYTES = 400_000
 
@@ -44,6 +46,13 @@
     exchange.write_head("500 Internal Server Error", "Content-Length: 0")
 
 
+async def begin_only(exchange: EngineExchange) -> None:
+    """Send the first event of a stream, and nothing until the caller leaves."""
+    exchange.write_head("200 OK", "Transfer-Encoding: chunked")
+    exchange.write_chunk(EVENTS[0])
+    await exchange.caller_left.wait()
+
+
 async def answer_late(exchange: EngineExchange) -> None:
     """Answer after a second."""
     await pause(1.0)
@@ -124,6 +133,24 @@
     assert (await call).startswith(b"HTTP/1.1 200")
 
 
+# Guards against: of the other engines only the usual one is asked, though it is silent
+# and another one lives.
+@pytest.mark.parametrize("silent_index", [0, 1])
+async def test_stream_goes_on_at_the_engine_that_lives(fleet, silent_index):
+    fleet.engines.append(ScriptedEngine("e3"))
+    await fleet.start()
+    fleet.store.put("op/config", make_config(2, CHAT_ROUTES))
+    await fleet.gateways[0].wait_config(2)
+    for engine in fleet.engines:
+        engine.behavior = begin_only
+    call = await begin(fleet, "/chat/1", BUDGET, *PROMPT)
+    silent, living = sorted(others(fleet), key=lambda e: e.id, reverse=silent_index > 0)
+    silent.behavior = hang
+    silent.answers_checks = False
+    living.behavior = stream_with_silence(0.0)
+    assert_whole(await call)
+
+
 # Guards against: an engine that reads a long body late counts as unreachable, and the
 # caller gets 502.
 async def test_engine_that_reads_late_keeps_its_request(fleet, monkeypatch):
