--- a/tests/test_silence_elsewhere.py
+++ b/tests/test_silence_elsewhere.py
@@ -9,8 +9,17 @@
 import pytest
 
 from dotterelpitch.clock import SystemClock
+from dotterelpitch.gateway.call import ResponseWriter
+from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
+from dotterelpitch.gateway.response_forwarding import (
+    AttemptLimits,
+    ResponseForwarder,
+    ResponseObserver,
+)
 from dotterelpitch.gateway.shared_checks import SharedChecks
+from dotterelpitch.upstream.connection import HttpResponseHead
 from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
+from dotterelpitch.upstream.response_source import ResponseSource
 from tests.harness.gateway_fleet import (
     CHAT_ROUTES,
     GatewayFleet,
@@ -174,6 +183,55 @@
     assert response.startswith(b"HTTP/1.1 200")
 
 
+class OneEvent(ResponseSource):
+    """Sends one event after a moment, and ends."""
+
+    def __init__(self) -> None:
+        self._parts = [EVENTS[0], b""]
+
+    async def read_body(self) -> bytes:
+        """Return the next part."""
+        await pause(0.05)
+        return self._parts.pop(0)
+
+
+class Unheard(ResponseWriter):
+    """Writes nowhere."""
+
+    async def start(self, status, headers) -> None:
+        """Begin the response."""
+        self.is_started = True
+
+    async def write(self, data: bytes) -> None:
+        """Drop the bytes."""
+
+    async def end(self) -> None:
+        """End the response."""
+
+    async def send_response(self, status, headers, body: bytes) -> None:
+        """Drop a whole response."""
+
+    def abort(self) -> None:
+        """Break off."""
+
+
+# Guards against: an engine whose head has only just come counts as silent too long.
+async def test_engine_is_not_left_just_after_its_head():
+    clock = SystemClock()
+    now = clock.monotonic()
+
+    async def find_successor(is_needed):
+        return is_needed()
+
+    limits = AttemptLimits(now + 5.0, now - 0.1, 4, find_successor)
+    head = HttpResponseHead(200, [], {})
+    events = EventStreamFilter("")
+    await ResponseForwarder(clock).forward_events(
+        OneEvent(), head, limits, Unheard(), events, ResponseObserver()
+    )
+    assert events.last_id == "1"
+
+
 class LateChecks(ScriptedEngine):
     """An engine that answers its status checks after half a second."""
 
