Show that a retry's rules are checked at each search

CallRule says once per attempt. A spent budget was logged three times for one stream on; a banned content would be logged each 0.25 s (read, not run).

--- a/tests/test_silence_elsewhere.py
+++ b/tests/test_silence_elsewhere.py
@@ -33,6 +33,7 @@
 from tests.test_silent_engines import (
     EVENTS,
     hang,
+    spend_the_retries,
     stream_with_silence,
     want_pause,
 )
@@ -183,6 +184,17 @@
     assert response.startswith(b"HTTP/1.1 200")
 
 
+# Guards against: the rules of a retry are checked, and logged, at each search.
+async def test_spent_budget_is_logged_once_a_stream(fleet):
+    await fleet.start()
+    for engine in fleet.engines:
+        engine.behavior = stream_with_silence(4.0)
+    call = await begin(fleet, "/resumable/1", BUDGET)
+    await spend_the_retries(fleet, None)
+    assert_whole(await call)
+    assert len(fleet.gateways[0].process.events(410)) <= 1
+
+
 class OneEvent(ResponseSource):
     """Sends one event after a moment, and ends."""
 
