Don't leave a stream that has begun for a peer because of silence

What callers saw: with two gateways and all engines silent for 1.6 s and more, status checks too, streams were still cut. Silence looks like lost contact to the engines 0.8 s after the last byte; a peer without traffic says that it reaches engines; the stream moved there, was refused (503) or met a silent engine, and was cut.

Now a stream that has begun is left for an engine only. If the path to the engine has failed, its connection ends, within 3 s, and then peers are asked as before; a peer's refusal in the middle says that nothing has run, so the next peer or an engine is asked, and the version that began the stream bounds who may go on.

test_stream_is_left_only_for_a_peer_that_takes_it failed in both cases on, passes now; 44 tests of calls through peers pass.

--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -150,7 +150,7 @@
             progress.sent_count += 1
             progress.may_have_run = True
             log_failure(call, vm.name, progress, writer.is_started)
-            if writer.is_started:
+            if writer.is_started and progress.version is None:
                 progress.no_retry_reason = PEER_STREAM_REASON
             else:
                 progress.no_retry_reason = self._rules.no_retry_reason(call, progress)
--- a/dotterelpitch/gateway/peer_forwarder.py
+++ b/dotterelpitch/gateway/peer_forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter
+from http import HTTPStatus
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import PeerError, ProtocolError
@@ -44,6 +45,8 @@
 DECLINED_SECONDS = 1.0
 # A call is offered to this many peers.
 MAX_PEERS_ASKED = 3
+# With these a peer, or its engine, promises that it hasn't run the call.
+REFUSALS = {HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE}
 # The peer answers at the call's deadline; this is how long that may take to arrive.
 ANSWER_GRACE_SECONDS = 0.15
 
@@ -209,7 +212,10 @@
                 response, response.head, limits, writer, progress.events, observer
             )
         elif writer.is_started:
-            raise AnswerLostError(f"the peer answered {message.status} in the middle")
+            reason = f"the peer answered {message.status} in the middle"
+            if message.status in REFUSALS:
+                return AttemptResult(AttemptOutcome.NOT_SENT, reason)
+            raise AnswerLostError(reason)
         else:
             await self._responses.forward_response(
                 response, response.head, limits, writer, observer
--- a/dotterelpitch/gateway/successor_finder.py
+++ b/dotterelpitch/gateway/successor_finder.py
@@ -2,8 +2,8 @@
 
 A silent engine may go on, and what it has begun is lost once its connection is closed.
 So an attempt is left for its silence alone only after it is known who takes the call
-and that the rules allow it: another engine that isn't silent too, or a peer that
-reaches engines while this VM reaches none.
+and that the rules allow it: another engine that isn't silent too, or, before anything
+of the response has come, a peer that reaches engines while this VM reaches none.
 """
 
 from collections.abc import Callable
@@ -59,7 +59,8 @@
         has its engine, unless a peer takes the call. ``is_needed`` returns whether the
         attempt is silent still.
         """
-        if self._peer_forwarder.can_go_on(progress):
+        has_begun = progress.version is not None
+        if not has_begun and self._peer_forwarder.can_go_on(progress):
             return self._reserve(call, progress, None)
         choice = await self._find_engine(call, progress)
         if choice is None:
