Don't take a silence for longer than the check that met it lasted

Who may wait a second for a status check and joined one that was given 0.25 s learned "silent" from it: the crash watcher took sound engines for ended after 0.1 s of its second, and their requests for suspects. It starts a check of its own then.

test_joined_check_lasts_as_long_as_who_joins_it_waits failed before, passes three times of three; test_shared_checks passes.

--- a/dotterelpitch/gateway/shared_checks.py
+++ b/dotterelpitch/gateway/shared_checks.py
@@ -28,6 +28,9 @@
 class SharedChecks:
     """Starts a check, or joins the one of the same engine that is under way.
 
+    One that was given less time and has met silence tells nothing to who may wait for
+    longer, who starts another one then.
+
     >>> checks = SharedChecks(clock)
     >>> await checks.run(EngineCheck("e1", "10.0.0.1:1", "/health", lambda: True))
     <CheckResult.RESPONDED: 'responded'>
@@ -37,6 +40,7 @@
     _run_check: RunCheck = EngineCheck.run
     _bucket: LeakyBucket = field(init=False)
     _task_by_address: dict[str, asyncio.Task[_Answer]] = field(factory=dict)
+    _timeout_by_address: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self._bucket = LeakyBucket(0.0, self._clock.monotonic())
@@ -44,17 +48,15 @@
     async def run(self, check: EngineCheck) -> CheckResult:
         """Return the result of a check; NOT_STARTED if there have been too many."""
         task = self._task_by_address.get(check.address)
-        if task is None:
-            if not self._has_room():
-                return CheckResult.NOT_STARTED
-            task = asyncio.create_task(self._start(check))
-            self._task_by_address[check.address] = task
-            task.add_done_callback(
-                lambda _: self._task_by_address.pop(check.address, None)
-            )
-            answer = await asyncio.shield(task)
-        else:
+        if task is not None:
+            is_shorter = self._timeout_by_address[check.address] < check.timeout_s
             answer = await self._join(check, task)
+            if is_shorter and answer.result is CheckResult.SILENT:
+                return await self.run(check)
+        elif not self._has_room():
+            return CheckResult.NOT_STARTED
+        else:
+            answer = await asyncio.shield(self._start_task(check))
         if answer.status is not None:
             check.on_status(answer.status)
         return answer.result
@@ -66,6 +68,17 @@
         self._bucket.add(1, BURST_CHECKS)
         return True
 
+    def _start_task(self, check: EngineCheck) -> asyncio.Task[_Answer]:
+        task = asyncio.create_task(self._start(check))
+        self._task_by_address[check.address] = task
+        self._timeout_by_address[check.address] = check.timeout_s
+        task.add_done_callback(lambda _: self._forget(check.address))
+        return task
+
+    def _forget(self, address: str) -> None:
+        del self._task_by_address[address]
+        del self._timeout_by_address[address]
+
     async def _start(self, check: EngineCheck) -> _Answer:
         statuses: list[EngineStatus] = []
         result = await self._run_check(evolve(check, on_status=statuses.append))
