--- a/dotterelpitch/gateway/call_progress.py
+++ b/dotterelpitch/gateway/call_progress.py
@@ -21,7 +21,8 @@
     the peers that it was offered to. ``no_retry_reason`` is why no attempt follows the
     last one; empty before that is known. While an attempt is in progress,
     ``is_retry_reserved`` is whether the next one has been charged already, and
-    ``next_choice`` the engine that was chosen for it.
+    ``next_choice`` the engine that was chosen for it; ``is_bound_to_attempt`` is
+    whether the rules have forbidden to leave the attempt for its silence.
     """
 
     events: EventStreamFilter
@@ -39,6 +40,7 @@
     last_result: AttemptResult | None = None
     no_retry_reason: str = ""
     is_retry_reserved: bool = False
+    is_bound_to_attempt: bool = False
     next_choice: EngineChoice | None = None
 
     def take_next_choice(self) -> EngineChoice | None:
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -242,6 +242,7 @@
             self._loads.request_ended(engine_id)
         self._engine_tracker.record_attempt(call, choice, result)
         progress.last_result = result
+        progress.is_bound_to_attempt = False
         _record_version(choice, progress, writer)
         if result.failure is FailureKind.UNREACHABLE:
             progress.unreachable_domains.add(choice.engine.failure_domain)
--- a/dotterelpitch/gateway/successor_finder.py
+++ b/dotterelpitch/gateway/successor_finder.py
@@ -31,7 +31,9 @@
 HEARD_SECONDS = 0.3
 CHECK_TIMEOUT_SECONDS = 0.25
 # An engine that hasn't responded to a check isn't asked again sooner.
-CHECK_INTERVAL_SECONDS = 1.0
+RECHECK_SECONDS = 1.0
+# Each VM asks one engine at a time, so that its other checks have room.
+CHECK_INTERVAL_SECONDS = 0.5
 
 _RESPONSES = {CheckResult.RESPONDED, CheckResult.RETURNED, CheckResult.UNNEEDED}
 
@@ -48,7 +50,8 @@
     _rate_limits: FleetRateLimits
     _peer_forwarder: PeerForwarder
     _run_check: RunCheck
-    _asked_at_by_engine: dict[str, float] = field(factory=dict)
+    _silent_at_by_engine: dict[str, float] = field(factory=dict)
+    _checked_at: float = float("-inf")
 
     async def find(
         self, call: Call, progress: CallProgress, is_needed: Callable[[], bool]
@@ -57,47 +60,61 @@
 
         If so, the next one is charged to the retry budget already, and ``progress``
         has its engine, unless a peer takes the call. ``is_needed`` returns whether the
-        attempt is silent still.
+        attempt is silent still. Once the rules have forbidden another attempt, this
+        one stays.
         """
+        if progress.is_bound_to_attempt:
+            return False
         has_begun = progress.version is not None
         if not has_begun and self._peer_forwarder.can_go_on(progress):
             return self._reserve(call, progress, None)
-        choice = await self._find_engine(call, progress)
+        choice = self._select(call, progress)
         if choice is None:
             return False
-        if is_needed() and self._reserve(call, progress, choice):
-            return True
-        self._rate_limits.limiter.take_back(choice.engine)
-        return False
+        is_reserved = False
+        try:
+            if await self._can_take(call, choice.engine) and is_needed():
+                is_reserved = self._reserve(call, progress, choice)
+        finally:
+            if not is_reserved:
+                self._rate_limits.limiter.take_back(choice.engine)
+        return is_reserved
 
-    async def _find_engine(
-        self, call: Call, progress: CallProgress
-    ) -> EngineChoice | None:
-        """Return an engine that can take the call; for a stream, one that lives."""
-        if call.route.kind is not CallKind.STREAM:
-            return self._selection.select_untried(call, progress)
+    def _select(self, call: Call, progress: CallProgress) -> EngineChoice | None:
+        """Return an engine that has been heard just now, else one that may be asked."""
         usable = self._state.directory.usable(call.service)
-        silent_ids = [e.id for e in usable if not self._is_heard(e)]
-        choice = self._selection.select_untried(call, progress, silent_ids)
-        if choice is not None:
-            return choice
-        choice = self._selection.select_untried(call, progress)
-        if choice is None or await self._responds(choice.engine):
-            return choice
-        self._rate_limits.limiter.take_back(choice.engine)
-        return None
+        unheard_ids = [e.id for e in usable if not self._is_heard(e)]
+        choice = self._selection.select_untried(call, progress, unheard_ids)
+        if choice is not None or call.route.kind is not CallKind.STREAM:
+            return choice or self._selection.select_untried(call, progress)
+        if self._clock.monotonic() - self._checked_at < CHECK_INTERVAL_SECONDS:
+            return None
+        silent_ids = self._recently_silent_ids()
+        return self._selection.select_untried(call, progress, silent_ids)
+
+    def _recently_silent_ids(self) -> list[str]:
+        """Return the engines that have met a check with silence lately."""
+        oldest = self._clock.monotonic() - RECHECK_SECONDS
+        self._silent_at_by_engine = {
+            engine_id: at
+            for engine_id, at in self._silent_at_by_engine.items()
+            if at >= oldest
+        }
+        return list(self._silent_at_by_engine)
 
     def _is_heard(self, engine: Engine) -> bool:
         oldest = self._clock.monotonic() - HEARD_SECONDS
         return self._tracker.crash_detector.has_outlived(engine.id, oldest)
 
+    async def _can_take(self, call: Call, engine: Engine) -> bool:
+        """Return whether an engine lives; for a plain call it isn't asked."""
+        if call.route.kind is not CallKind.STREAM or self._is_heard(engine):
+            return True
+        return await self._responds(engine)
+
     async def _responds(self, engine: Engine) -> bool:
-        """Return whether an engine gives a sign of life, unless it was asked lately."""
-        now = self._clock.monotonic()
-        asked_at = self._asked_at_by_engine.get(engine.id, float("-inf"))
-        if now - asked_at < CHECK_INTERVAL_SECONDS:
-            return False
-        self._asked_at_by_engine[engine.id] = now
+        """Return whether an engine gives a sign of life when asked."""
+        self._checked_at = self._clock.monotonic()
         check = EngineCheck(
             engine.id,
             engine.address,
@@ -106,10 +123,13 @@
             patience_s=0.0,
             timeout_s=CHECK_TIMEOUT_SECONDS,
         )
-        has_responded = await self._run_check(check) in _RESPONSES
-        if has_responded:
+        result = await self._run_check(check)
+        if result in _RESPONSES:
             self._tracker.heard_from(engine)
-        return has_responded
+            return True
+        if result is not CheckResult.NOT_STARTED:
+            self._silent_at_by_engine[engine.id] = self._clock.monotonic()
+        return False
 
     def _reserve(
         self, call: Call, progress: CallProgress, choice: EngineChoice | None
@@ -122,6 +142,7 @@
             last_result=AttemptResult(AttemptOutcome.TIMED_OUT),
         )
         if self._rules.no_retry_reason(call, left):
+            progress.is_bound_to_attempt = True
             return False
         progress.is_retry_reserved = True
         progress.next_choice = choice
