Don't leave an engine just after it has sent something

A head, or a part of a plain body, that came after the time for the first byte was followed by a search for another engine at once. Patience begins with the last thing that was sent.

test_engine_is_not_left_just_after_its_head failed before and passes now.

--- a/dotterelpitch/gateway/response_forwarding.py
+++ b/dotterelpitch/gateway/response_forwarding.py
@@ -108,7 +108,7 @@
         """Return the body, or its beginning once ``MAX_BUFFERED_BYTES`` are read."""
         body = bytearray()
         while len(body) < MAX_BUFFERED_BYTES:
-            patience_s = self.seconds_until(limits.answer_by)
+            patience_s = self._patience_s(limits)
             data = await self.wait(source.read_body, source, limits, patience_s)
             if not data:
                 break
@@ -148,7 +148,7 @@
     ) -> float:
         """Pass events on; return the longest pause between two writes, in seconds."""
         events.restart()
-        patience_s = self.seconds_until(limits.answer_by)
+        patience_s = self._patience_s(limits)
         longest_pause_s = 0.0
         last_at = None
         while True:
@@ -180,6 +180,10 @@
         await writer.end()
         return longest_pause_s
 
+    def _patience_s(self, limits: AttemptLimits) -> float:
+        """Return how long a source that has just sent something may be silent."""
+        return max(SEEK_INTERVAL_SECONDS, self.seconds_until(limits.answer_by))
+
     def seconds_until(self, deadline: float) -> float:
         """Return the time left, at least 0."""
         return max(0.0, deadline - self._clock.monotonic())
