Keep a stream's silent engine until the next one takes the stream

What callers saw: a stream was cut since the engine to which it was moved answered its status check, but then rejected the stream (503, full) or failed (500), and no attempt was left. A check can't tell.

Now the next attempt of a stream that has begun is opened first. If the other rejects it, or the first goes on meanwhile, the stream stays.

AttemptRunner.run is split into open and finish; what an attempt has met is recorded by a class of its own, since two record it.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -10,6 +10,7 @@
 from dotterelpitch.clock import SteadyClock
 from dotterelpitch.gateway.attempt import AttemptRunner
 from dotterelpitch.gateway.attempt_observer import log_limit_change
+from dotterelpitch.gateway.attempt_recorder import AttemptRecorder
 from dotterelpitch.gateway.background import keep_running
 from dotterelpitch.gateway.body_memory import BodyMemory
 from dotterelpitch.gateway.cached_prompt_finder import CachedPromptFinder
@@ -42,6 +43,7 @@
 from dotterelpitch.gateway.shared_checks import RunCheck, SharedChecks
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.store_watcher import StoreWatcher
+from dotterelpitch.gateway.stream_handover import StreamHandover
 from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
 from dotterelpitch.gateway.stream_resumption import StreamResumption
 from dotterelpitch.gateway.successor_finder import SuccessorFinder
@@ -278,20 +280,21 @@
             peer_forwarder,
             run_check,
         )
+        recorder = AttemptRecorder(self.engine_tracker, self.rate_limits)
         return Forwarder(
             self._clock,
             self.state,
             selection,
             self.loads,
-            self.engine_tracker,
+            recorder,
             self.retry_budget,
             rules,
             self.engine_pauses,
             attempt_runner,
-            self.rate_limits,
             stream_resumption,
             peer_forwarder,
             successor_finder,
+            StreamHandover(attempt_runner, recorder, self.loads),
         )
 
     def _create_chooser(self) -> EngineChooser:
--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -1,6 +1,8 @@
 """Runs one attempt: sends a request to one engine and passes its response on."""
 
-from attrs import evolve
+import asyncio
+
+from attrs import evolve, frozen
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.attempt_observer import AttemptObserver
@@ -63,6 +65,19 @@
 }
 
 
+@frozen
+class OpenAttempt:
+    """A request that has been sent to an engine, on a connection.
+
+    ``connect_s`` is the time to get the connection, in seconds.
+    """
+
+    choice: EngineChoice
+    connection: EngineConnection
+    observer: AttemptObserver
+    connect_s: float
+
+
 class AttemptRunner:
     """Runs attempts over a shared connection pool."""
 
@@ -102,13 +117,29 @@
         Connection and engine failures are part of the outcome; no UpstreamError is
         raised.
         """
+        opened = await self.open(call, choice, limits.max_connections, events)
+        if isinstance(opened, AttemptResult):
+            return opened
+        return await self.finish(opened, call, limits, writer, events)
+
+    async def open(
+        self,
+        call: Call,
+        choice: EngineChoice,
+        max_connections: int,
+        events: EventStreamFilter,
+    ) -> OpenAttempt | AttemptResult:
+        """Send ``call`` to the chosen engine; return the result if that failed.
+
+        What is opened is to be finished or abandoned.
+        """
         engine = choice.engine
         started = self._clock.monotonic()
         try:
             connection = await self._pool.acquire(
                 engine.id,
                 engine.address,
-                limits.max_connections,
+                max_connections,
                 is_unsafe=not call.route.is_retryable,
             )
         except NotSentError as error:
@@ -137,12 +168,58 @@
                 call.request_id,
                 expects_body=call.method != "HEAD",
             )
+        except BaseException:
+            self._end(choice, connection, observer)
+            raise
+        return OpenAttempt(choice, connection, observer, connect_s)
+
+    def abandon(self, opened: OpenAttempt) -> None:
+        """Close an open attempt whose response isn't wanted any longer."""
+        self._end(opened.choice, opened.connection, opened.observer)
+
+    def _end(
+        self,
+        choice: EngineChoice,
+        connection: EngineConnection,
+        observer: AttemptObserver,
+    ) -> None:
+        observer.ended()
+        self._pool.release(choice.engine.id, connection)
+
+    async def is_taken(self, opened: OpenAttempt, timeout_s: float) -> bool:
+        """Return whether an engine begins to answer with success.
+
+        One that says nothing for ``timeout_s`` seconds counts as well.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                head = await opened.connection.read_head()
+        except TimeoutError:
+            return True
+        except AnswerLostError:
+            return False
+        response_class = classify_response(head.status, head.value_by_name)
+        return head.status == 200 and response_class is ResponseClass.ANSWERED
+
+    async def finish(
+        self,
+        opened: OpenAttempt,
+        call: Call,
+        limits: AttemptLimits,
+        writer: ResponseWriter,
+        events: EventStreamFilter,
+    ) -> AttemptResult:
+        """Pass the response to an open attempt on, and return the outcome."""
+        connection, observer = opened.connection, opened.observer
+        try:
             result = await self._handle_response(
                 connection, call, limits, writer, events, observer
             )
             is_end_certain = not connection.has_ended_response
             observer.answered(is_end_certain)
-            return evolve(result, connect_s=connect_s, is_end_certain=is_end_certain)
+            return evolve(
+                result, connect_s=opened.connect_s, is_end_certain=is_end_certain
+            )
         except AnswerLostError as error:
             observer.connection_broke()
             failure = _FAILURE_BY_ERROR[type(error)]
@@ -155,8 +232,7 @@
                 failure=FailureKind.TIMEOUT,
             )
         finally:
-            observer.ended()
-            self._pool.release(engine.id, connection)
+            self._end(opened.choice, connection, observer)
 
     def _encode(
         self, call: Call, choice: EngineChoice, events: EventStreamFilter
--- a/dotterelpitch/gateway/call_progress.py
+++ b/dotterelpitch/gateway/call_progress.py
@@ -1,11 +1,16 @@
 """The state of one call over all of its attempts at engines."""
 
+from typing import TYPE_CHECKING
+
 from attrs import define, field
 
 from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
 from dotterelpitch.routing.engine_choice import EngineChoice
 
+if TYPE_CHECKING:
+    from dotterelpitch.gateway.attempt import OpenAttempt
+
 
 @define
 class CallProgress:
@@ -19,10 +24,12 @@
     ``version`` is the engine version that has begun the stream, or None before that.
     ``may_use_peers`` is whether the call may be forwarded to a peer; ``asked_vms`` are
     the peers that it was offered to. ``no_retry_reason`` is why no attempt follows the
-    last one; empty before that is known. While an attempt is in progress,
-    ``is_retry_reserved`` is whether the next one has been charged already, and
-    ``next_choice`` the engine that was chosen for it; ``is_bound_to_attempt`` is
-    whether the rules have forbidden to leave the attempt for its silence.
+    last one; empty before that is known.
+
+    While an attempt is in progress, ``is_retry_reserved`` is whether the next one has
+    been charged already, ``next_choice`` the engine that was chosen for it, and
+    ``open_attempt`` that attempt, if its request has been sent. ``is_bound_to_attempt``
+    is whether the rules have forbidden to leave the attempt for its silence.
     """
 
     events: EventStreamFilter
@@ -42,8 +49,14 @@
     is_retry_reserved: bool = False
     is_bound_to_attempt: bool = False
     next_choice: EngineChoice | None = None
+    open_attempt: "OpenAttempt | None" = None
 
     def take_next_choice(self) -> EngineChoice | None:
         """Return the engine that was chosen for the next attempt, once."""
         choice, self.next_choice = self.next_choice, None
         return choice
+
+    def take_open_attempt(self) -> "OpenAttempt | None":
+        """Return the next attempt if its request has been sent, once."""
+        opened, self.open_attempt = self.open_attempt, None
+        return opened
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -7,25 +7,25 @@
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.attempt import AttemptRunner
+from dotterelpitch.gateway.attempt_recorder import AttemptRecorder
 from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.call import Call, ResponseWriter
 from dotterelpitch.gateway.call_log import log_choice, log_end, log_failure
 from dotterelpitch.gateway.call_progress import CallProgress
 from dotterelpitch.gateway.call_rules import CallRules, RateLimitRule
 from dotterelpitch.gateway.engine_selection import EngineSelection
-from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
 from dotterelpitch.gateway.peer_forwarder import PeerForwarder
 from dotterelpitch.gateway.refusals import refuse
 from dotterelpitch.gateway.response_forwarding import AttemptLimits
 from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.gateway.stream_handover import StreamHandover
 from dotterelpitch.gateway.stream_resumption import (
     NO_ENGINE_OF_VERSION_REASON,
     StreamResumption,
 )
 from dotterelpitch.gateway.successor_finder import SuccessorFinder
 from dotterelpitch.routing.attempt_outcomes import (
-    RETRY_RULE_BY_OUTCOME,
     AttemptOutcome,
     FinalResponse,
     final_response,
@@ -33,9 +33,7 @@
 from dotterelpitch.routing.engine_choice import EngineChoice
 from dotterelpitch.routing.engine_pauses import EnginePauses
 from dotterelpitch.routing.fleet_loads import FleetLoads
-from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.fleet_retry_budget import FleetRetryBudget
-from dotterelpitch.routing.health import FailureKind
 from dotterelpitch.routing.route_table import CallKind
 
 # An attempt that could be retried times out after this many latency objectives. A
@@ -72,29 +70,29 @@
         state: GatewayState,
         selection: EngineSelection,
         loads: FleetLoads,
-        engine_tracker: EngineTracker,
+        recorder: AttemptRecorder,
         retry_budget: FleetRetryBudget,
         rules: CallRules,
         pauses: EnginePauses,
         attempt_runner: AttemptRunner,
-        rate_limits: FleetRateLimits,
         stream_resumption: StreamResumption,
         peer_forwarder: PeerForwarder,
         successor_finder: SuccessorFinder,
+        stream_handover: StreamHandover,
     ) -> None:
         self._clock = clock
         self._state = state
         self._selection = selection
         self._loads = loads
-        self._engine_tracker = engine_tracker
+        self._recorder = recorder
         self._retry_budget = retry_budget
         self._rules = rules
         self._pauses = pauses
         self._attempt_runner = attempt_runner
-        self._rate_limits = rate_limits
         self._stream_resumption = stream_resumption
         self._peer_forwarder = peer_forwarder
         self._successor_finder = successor_finder
+        self._stream_handover = stream_handover
 
     async def forward(
         self, call: Call, writer: ResponseWriter, progress: CallProgress | None = None
@@ -226,39 +224,31 @@
         progress: CallProgress,
         writer: ResponseWriter,
     ) -> AttemptResult:
-        engine_id = choice.engine.id
-        progress.tried_ids.append(engine_id)
-        log_choice(call, choice, progress, self._state.age_s)
-        self._loads.request_started(engine_id)
+        limits = self._limits(call, choice, progress, writer)
+        opened = progress.take_open_attempt()
+        self._loads.request_started(choice.engine.id)
         try:
-            result = await self._attempt_runner.run(
-                call,
-                choice,
-                self._limits(call, choice, progress, writer),
-                writer,
-                progress.events,
-            )
+            if opened is None:
+                self._note_choice(call, choice, progress)
+                result = await self._attempt_runner.run(
+                    call, choice, limits, writer, progress.events
+                )
+            else:
+                result = await self._attempt_runner.finish(
+                    opened, call, limits, writer, progress.events
+                )
         finally:
-            self._loads.request_ended(engine_id)
-        self._engine_tracker.record_attempt(call, choice, result)
-        progress.last_result = result
+            self._loads.request_ended(choice.engine.id)
         progress.is_bound_to_attempt = False
-        _record_version(choice, progress, writer)
-        if result.failure is FailureKind.UNREACHABLE:
-            progress.unreachable_domains.add(choice.engine.failure_domain)
-        if result.outcome is AttemptOutcome.FAILED:
-            progress.failed_result = result
-            progress.failed_ids.append(engine_id)
-        if result.outcome is AttemptOutcome.NOT_SENT:
-            progress.unsent_count += 1
-            self._rate_limits.limiter.take_back(choice.engine)
-        else:
-            progress.sent_count += 1
-        if result.outcome is not AttemptOutcome.DELIVERED:
-            progress.may_have_run |= RETRY_RULE_BY_OUTCOME[result.outcome].may_have_run
-            log_failure(call, engine_id, progress, writer.is_started)
+        self._recorder.record(call, choice, progress, writer, result)
         return result
 
+    def _note_choice(
+        self, call: Call, choice: EngineChoice, progress: CallProgress
+    ) -> None:
+        progress.tried_ids.append(choice.engine.id)
+        log_choice(call, choice, progress, self._state.age_s)
+
     def _limits(
         self,
         call: Call,
@@ -297,9 +287,21 @@
         writer: ResponseWriter,
         is_needed: Callable[[], bool],
     ) -> bool:
-        """Return whether the attempt at ``choice`` may be left for another one."""
-        _record_version(choice, progress, writer)
-        return await self._successor_finder.find(call, progress, is_needed)
+        """Return whether the attempt at ``choice`` may be left for another one.
+
+        A stream that has begun is sent to its next engine first.
+        """
+        self._recorder.record_version(choice, progress, writer)
+        if not await self._successor_finder.find(call, progress, is_needed):
+            return False
+        successor = progress.next_choice
+        if successor is None or not writer.is_started:
+            return True
+        self._note_choice(call, successor, progress)
+        limits = self._limits(call, successor, progress, writer)
+        return await self._stream_handover.open_next(
+            call, progress, writer, limits, is_needed
+        )
 
     async def _give_up(
         self, call: Call, progress: CallProgress, writer: ResponseWriter
@@ -349,11 +351,3 @@
         if self._state.directory.usable(call.service):
             return RateLimitRule.reason
         return NO_ENGINE_REASON
-
-
-def _record_version(
-    choice: EngineChoice, progress: CallProgress, writer: ResponseWriter
-) -> None:
-    """Record the version of the engine that has begun a response, if one has."""
-    if writer.is_started and progress.version is None:
-        progress.version = choice.engine.version
