Show that an answer in an unknown transfer coding is passed on as whole

What callers saw: 200 with the sizes of chunks in the body, or with a body in a coding that they weren't told of, framed as whole, where an engine's Transfer-Encoding was cut short on the way ("chun") or names another coding than "chunked".

Evidence: the connection alone was fed thirteen heads whose framing is damaged. Seven were refused; six were taken for whole once the connection closed, all by Transfer-Encoding.

--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -139,6 +139,42 @@
         await read_all(connection)
 
 
+DAMAGED_FRAMING = {
+    "coding cut short": b"Transfer-Encoding: chun",
+    "coding of the content": b"Transfer-Encoding: gzip",
+    "coding before chunks": b"Transfer-Encoding: gzip, chunked",
+    "coding after chunks": b"Transfer-Encoding: chunked, gzip",
+    "another coding in a field before": (
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked"
+    ),
+    "another coding in a field after": (
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip"
+    ),
+    "coding cut off": b"Transfer-Encoding:",
+    "name cut short": b"Transf",
+    "length cut off": b"Content-Length:",
+    "two lengths in a field": b"Content-Length: 2, 2",
+    "two lengths": b"Content-Length: 2\r\nContent-Length: 1",
+    "length and chunks": b"Content-Length: 2\r\nTransfer-Encoding: chunked",
+    "line without CR": b"Content-Length: 2\nX-A: b",
+}
+
+
+# Guards against: an answer whose framing was damaged on the way is passed on as whole,
+# with the sizes of its chunks or in a coding that the caller doesn't know.
+@pytest.mark.parametrize(
+    "framing", DAMAGED_FRAMING.values(), ids=DAMAGED_FRAMING.keys()
+)
+async def test_answer_with_damaged_framing_is_refused(framing):
+    connection, transport = connection_with_sent_request()
+    connection.data_received(OK + framing + b"\r\n\r\n2\r\nhi\r\n0\r\n\r\n")
+    connection.eof_received()
+    connection.connection_lost(None)
+    with pytest.raises(AnswerLostError):
+        await read_all(connection)
+    assert transport.closed
+
+
 # Guards against: a second copy of an earlier response, such as a rejection, is taken
 # for that to the next request.
 @pytest.mark.parametrize("unsolicited", [STALE, STALE_REFUSAL, REFUSAL_WITHOUT_ID])
