Refuse answers in any transfer coding but "chunked" alone

Cause: the parser reads an answer whose last coding isn't "chunked" up to the connection's end, as HTTP has it, and so the connection counted it as one without a length. The coding belongs to one connection, so it isn't passed on, and what it coded was passed on as the body.

Change: a Transfer-Encoding other than one field "chunked" makes the answer garbled: another engine where the route allows it, otherwise 502. "identity" is refused too; HTTP has dropped it, and no engine of the tests sends it.

--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -23,6 +23,9 @@
 # Bytes that bring neither the head nor a part of the body, such as an endless line or
 # interim responses without end. The parser buffers some of them.
 MAX_OVERHEAD_BYTES = 512 * 1024
+TRANSFER_ENCODING = "transfer-encoding"
+# Any other coding would be passed on as a part of the body.
+READABLE_TRANSFER_CODINGS = ([], ["chunked"])
 # Idle limit of engines that don't send a Keep-Alive timeout.
 DEFAULT_IDLE_SECONDS = 4.0
 
@@ -199,10 +202,11 @@
         if not self._parser.should_keep_alive():
             self.is_reusable = False
         self._record_idle_limit(value_by_name.get("keep-alive", ""))
-        self._ends_at_close = (
-            "content-length" not in value_by_name
-            and "chunked" not in value_by_name.get("transfer-encoding", "").lower()
-        )
+        codings = self._transfer_codings()
+        if codings not in READABLE_TRANSFER_CODINGS:
+            self._fail(AnswerGarbledError(f"sent in transfer codings {codings}"))
+            return
+        self._ends_at_close = "content-length" not in value_by_name and not codings
         self._overhead_bytes = 0
         self.has_responded = True
         self._head = HttpResponseHead(status, self._raw_headers, value_by_name)
@@ -248,6 +252,11 @@
         self.is_reusable = False
         return True
 
+    def _transfer_codings(self) -> list[str]:
+        """Return the value of each Transfer-Encoding field."""
+        fields = self._raw_headers
+        return [v.strip().lower() for n, v in fields if n.lower() == TRANSFER_ENCODING]
+
     def _record_idle_limit(self, keep_alive: str) -> None:
         if match := _KEEP_ALIVE_TIMEOUT.search(keep_alive):
             self.idle_limit_s = float(match.group(1))
