Show that an answer is passed on without a part of its head

What callers saw: 200 without the fields that lay beyond 64 KiB of an engine's head, where the end of that head came in the same piece. Fields without which an answer means something else, such as Content-Encoding, may be among them. No real engine was seen to send such a head.

Evidence: a head of one long field, and one of 999 empty ones, fed to the connection alone.

--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from dotterelpitch.upstream.connection import MAX_OVERHEAD_BYTES, EngineConnection
+from dotterelpitch.upstream.connection import (
+    MAX_HEAD_BYTES,
+    MAX_OVERHEAD_BYTES,
+    EngineConnection,
+)
 from dotterelpitch.upstream.errors import (
     AnswerGarbledError,
     AnswerLostError,
@@ -175,6 +179,22 @@
     assert transport.closed
 
 
+# Guards against: an answer with too long a head is passed on without the fields beyond
+# the limit if it comes in one piece.
+@pytest.mark.parametrize(
+    "fields",
+    [b"X-Long: " + b"x" * MAX_HEAD_BYTES, b"X:\r\n" * 999],
+    ids=["one field", "fields"],
+)
+async def test_answer_with_too_long_a_head_is_refused(fields):
+    connection, transport = connection_with_sent_request()
+    head = OK + fields.strip() + b"\r\nContent-Length: 2\r\n\r\n"
+    connection.data_received(head + b"hi")
+    with pytest.raises(AnswerGarbledError):
+        await connection.read_head()
+    assert transport.closed
+
+
 # Guards against: a second copy of an earlier response, such as a rejection, is taken
 # for that to the next request.
 @pytest.mark.parametrize("unsolicited", [STALE, STALE_REFUSAL, REFUSAL_WITHOUT_ID])
