Refuse an answer with too long a head also if it comes in one piece

Cause: the connection closes itself at the limit, but the parser goes on with the piece that it has. At the end of the head the connection took the fields up to the limit for the head, and the head was handed out before the error was looked at.

Change: the end of a head after an error is none.

--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -192,7 +192,7 @@
         self._raw_headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
-        if self._is_complete:
+        if self._is_complete or self._error is not None:
             return
         status = self._parser.get_status_code()
         value_by_name = {name.lower(): value for name, value in self._raw_headers}
