Show that a resumed stream ends as whole before its next event

What callers saw: a stream of which one engine had sent the first events ended as whole, without the others, where the engine that went on with it ended at the end of its head and its answer had no length and no chunks. Where the caller had taken the stream up again, it got 200 and an empty stream, framed as whole.

--- a/tests/test_responses_ending_with_connection.py
+++ b/tests/test_responses_ending_with_connection.py
@@ -71,6 +71,13 @@
         EVENTS,
         True,
     ),
+    "stream, resumed, ended before its next event": (
+        "resumable",
+        [stream(EVENTS[:15], resets=True), stream()],
+        200,
+        EVENTS[:15],
+        False,
+    ),
 }
 
 
@@ -105,6 +112,25 @@
         assert received == body
 
 
+# Guards against: a stream that its caller takes up again ends as whole, with no event.
+async def test_stream_taken_up_again_isnt_whole_before_its_next_event(tmp_path):
+    fleet = GatewayFleet(tmp_path)
+    try:
+        gateway = await fleet.start()
+        for engine in fleet.engines:
+            engine.behavior = stream(EVENTS[:15], resets=True)
+        await send_raw(gateway.caller_address, request_bytes("/resumable/1"))
+        for engine in fleet.engines:
+            engine.behavior = stream()
+        request = request_bytes(
+            "/resumable/1", headers=("Last-Event-Id: 1", "Resumes: r1")
+        )
+        answer = await send_raw(gateway.caller_address, request)
+    finally:
+        await fleet.stop()
+    assert answer.startswith(b"HTTP/1.1 502")
+
+
 def split_chunks(data):
     """Return the chunks of a body; the last one is empty if the body is whole."""
     chunks = []
