Don't end a resumed stream as whole before its next event

Change: a stream that goes on counts as lost too if its connection ends before a new event: another engine where the route allows it, otherwise 502, or a reset once a part was sent. An empty stream with an end of its own, by length or chunks, is whole as before. The price: a stream that lost only its end isn't completed by an engine whose answers have no end of their own.

--- a/dotterelpitch/gateway/response_forwarding.py
+++ b/dotterelpitch/gateway/response_forwarding.py
@@ -127,9 +127,8 @@
                 timeout_s = min(timeout_s, STREAM_STALL_SECONDS)
         if events.has_partial_event:
             raise AnswerLostError("the stream ended inside an event")
-        is_empty = last_at is None and not events.last_id
-        if is_empty and source.has_ended_response:
-            raise AnswerLostError("the stream ended before its first event")
+        if last_at is None and source.has_ended_response:
+            raise AnswerLostError("the stream ended before its first new event")
         if not writer.is_started:
             await writer.start(head.status, _stream_headers(head))
         await writer.end()
