Guard against answers that are cut in their head

What other operators saw: an engine stopped in the middle of its answer's head and closed; clients got 200 with an empty or short body, framed as whole.

It doesn't happen here: a head counts only with its empty line, and without one the answer is lost.

--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -143,6 +143,38 @@
         await read_all(connection)
 
 
+EARLIER = STALE.replace(b"r0", b"r1").replace(b"old", b"one")
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+FRAMED = {
+    "length": COMPLETE,
+    "chunks": CHUNKED + b"0\r\n\r\n",
+    "trailers": CHUNKED + b"0\r\nX-Trailer: a\r\n\r\n",
+    "no length": OK + b"\r\n",
+    "interim answer before": INTERIM + COMPLETE,
+    "another's answer before": STALE + COMPLETE,
+}
+
+
+# Guards against: an answer that was cut, in its head or behind it, is taken for whole.
+@pytest.mark.parametrize("answer", FRAMED.values(), ids=FRAMED.keys())
+@pytest.mark.parametrize("error", [None, ConnectionResetError()], ids=["FIN", "RST"])
+@pytest.mark.parametrize("is_kept", [False, True], ids=["first", "kept connection"])
+async def test_answer_cut_at_any_byte_is_none(answer, error, is_kept):
+    for end in range(len(answer)):
+        connection, _ = connection_with_sent_request()
+        if is_kept:
+            connection.data_received(EARLIER)
+            await read_all(connection)
+            connection.finish(0.0)
+            connection.send(b"GET / HTTP/1.1\r\n\r\n", "r1")
+        connection.data_received(answer[:end])
+        if error is None:
+            connection.eof_received()
+        connection.connection_lost(error)
+        with pytest.raises(AnswerLostError):
+            await read_all(connection)
+
+
 DAMAGED_FRAMING = {
     "coding cut short": b"Transfer-Encoding: chun",
     "coding of the content": b"Transfer-Encoding: gzip",
