Don't count a response that is reset as whole at the product's own interface

Cause: aiohttp ends a body without a length with its connection, however that ends, and raises no error. The gateway reads engines' answers with a parser of its own for this reason (docs/design/platform.md); the routers use aiohttp.

Change: chats, plain calls, and keyed calls read bodies by one function, which raises what aiohttp raises for other bodies that break off: the chat goes on elsewhere, the caller's connection is broken off, or the keyed call's outcome is unknown.

--- a/dotterelpitch/router/engine_call.py
+++ b/dotterelpitch/router/engine_call.py
@@ -17,6 +17,7 @@
 )
 from dotterelpitch.protocol.stream import Stream
 from dotterelpitch.router.idle_timeout import idle_timeout
+from dotterelpitch.router.response_body import read_body
 from dotterelpitch.telemetry.metrics import get_metrics
 from dotterelpitch.telemetry.usage import UsageReader
 
@@ -108,7 +109,7 @@
                 headers = [("Content-Type", response.headers.get("Content-Type", ""))]
                 await stream.send(ResponseHead(response.status, headers))
                 usage = UsageReader()
-                while chunk := await response.content.readany():
+                async for chunk in read_body(response):
                     idle.pause()
                     usage.feed(chunk)
                     await stream.send(Data(chunk))
--- a/dotterelpitch/router/keyed_endpoint.py
+++ b/dotterelpitch/router/keyed_endpoint.py
@@ -16,6 +16,7 @@
 from dotterelpitch.requests.ledger import EntryState, LedgerEntry, RecordedAnswer
 from dotterelpitch.requests.outcomes import Outcome, outcome_of_status
 from dotterelpitch.router.plain_owner import call_timeout, forwarded_headers
+from dotterelpitch.router.response_body import read_body
 from dotterelpitch.telemetry.events import Event, log_event
 
 FENCING_HEADER = "Dotterelpitch-Fencing"
@@ -105,7 +106,7 @@
 async def _read_at_most(response: aiohttp.ClientResponse, limit: int) -> bytes | None:
     """Return the body, or None when it is longer than ``limit`` bytes."""
     body = bytearray()
-    async for chunk in response.content.iter_any():
+    async for chunk in read_body(response):
         body += chunk
         if len(body) > limit:
             return None
--- a/dotterelpitch/router/plain_owner.py
+++ b/dotterelpitch/router/plain_owner.py
@@ -11,6 +11,7 @@
     ResponseHead,
 )
 from dotterelpitch.protocol.stream import Stream
+from dotterelpitch.router.response_body import read_body
 from dotterelpitch.router.state import FleetState
 
 FORWARDED_RESPONSE_HEADERS = ("Content-Type", "Content-Language", "Location", "ETag")
@@ -42,7 +43,7 @@
                 await stream.send(
                     ResponseHead(response.status, forwarded_headers(response))
                 )
-                async for chunk in response.content.iter_any():
+                async for chunk in read_body(response):
                     await stream.send(Data(chunk))
         except aiohttp.ClientConnectorError as error:
             await stream.send(DispatchFailed(str(error), False))
--- /dev/null
+++ b/dotterelpitch/router/response_body.py
@@ -0,0 +1,33 @@
+"""Reads the body of an endpoint's response, up to an end that is certain."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
+
+
+async def read_body(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    """Yield the body in pieces, as they come.
+
+    A body without a length ends with its connection, and aiohttp takes it for whole
+    even if that is reset. This raises ClientPayloadError then, as aiohttp does for any
+    other body that breaks off.
+    """
+    async for piece in response.content.iter_any():
+        yield piece
+    if _ends_with_connection(response) and _was_reset(response):
+        raise aiohttp.ClientPayloadError("the connection was reset")
+
+
+def _ends_with_connection(response: aiohttp.ClientResponse) -> bool:
+    """Return whether nothing but the connection's end ends the body."""
+    if response.method == "HEAD" or response.status in _STATUSES_WITHOUT_BODY:
+        return False
+    framing = ("Content-Length", "Transfer-Encoding")
+    return not any(name in response.headers for name in framing)
+
+
+def _was_reset(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the connection has failed; aiohttp has no public way to ask."""
+    return isinstance(response._protocol.exception(), OSError)
