Refuse responses in unknown transfer codings at the product's own interface too

What callers saw: 200 with the sizes of chunks in the body, framed as whole, where the Transfer-Encoding of an engine's or endpoint's response was cut short.

Cause: the same as in the gateway: aiohttp too reads such a body up to the end of its connection.

Change: the rule is a function of its own, used for both. "in a coding cut short" failed for chats, plain calls, and keyed calls before, and passes now. By then a router has passed the head on, so a caller sees a broken connection, and a chat goes on elsewhere.

--- a/dotterelpitch/router/response_body.py
+++ b/dotterelpitch/router/response_body.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from dotterelpitch.upstream.transfer_codings import TRANSFER_ENCODING, are_readable
+
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -12,8 +14,11 @@
 
     A body without a length ends with its connection, and aiohttp takes it for whole
     even if that is reset. This raises ClientPayloadError then, as aiohttp does for any
-    other body that breaks off.
+    other body that breaks off, and for a body in a coding that would stay in it.
     """
+    codings = response.headers.getall(TRANSFER_ENCODING, [])
+    if not are_readable(codings):
+        raise aiohttp.ClientPayloadError(f"sent in transfer codings {codings}")
     async for piece in response.content.iter_any():
         yield piece
     if _ends_with_connection(response) and _was_reset(response):
@@ -24,7 +29,7 @@
     """Return whether nothing but the connection's end ends the body."""
     if response.method == "HEAD" or response.status in _STATUSES_WITHOUT_BODY:
         return False
-    framing = ("Content-Length", "Transfer-Encoding")
+    framing = ("Content-Length", TRANSFER_ENCODING)
     return not any(name in response.headers for name in framing)
 
 
--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -13,6 +13,7 @@
     PathLostError,
 )
 from dotterelpitch.upstream.response_source import ResponseSource
+from dotterelpitch.upstream.transfer_codings import TRANSFER_ENCODING, are_readable
 
 # Reading from the engine pauses while more than this of a body is unread.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
@@ -23,9 +24,6 @@
 # Bytes that bring neither the head nor a part of the body, such as an endless line or
 # interim responses without end. The parser buffers some of them.
 MAX_OVERHEAD_BYTES = 512 * 1024
-TRANSFER_ENCODING = "transfer-encoding"
-# Any other coding would be passed on as a part of the body.
-READABLE_TRANSFER_CODINGS = ([], ["chunked"])
 # Idle limit of engines that don't send a Keep-Alive timeout.
 DEFAULT_IDLE_SECONDS = 4.0
 
@@ -203,7 +201,7 @@
             self.is_reusable = False
         self._record_idle_limit(value_by_name.get("keep-alive", ""))
         codings = self._transfer_codings()
-        if codings not in READABLE_TRANSFER_CODINGS:
+        if not are_readable(codings):
             self._fail(AnswerGarbledError(f"sent in transfer codings {codings}"))
             return
         self._ends_at_close = "content-length" not in value_by_name and not codings
@@ -254,8 +252,7 @@
 
     def _transfer_codings(self) -> list[str]:
         """Return the value of each Transfer-Encoding field."""
-        fields = self._raw_headers
-        return [v.strip().lower() for n, v in fields if n.lower() == TRANSFER_ENCODING]
+        return [v for n, v in self._raw_headers if n.lower() == TRANSFER_ENCODING]
 
     def _record_idle_limit(self, keep_alive: str) -> None:
         if match := _KEEP_ALIVE_TIMEOUT.search(keep_alive):
--- a/tests/test_broken_off_responses.py
+++ b/tests/test_broken_off_responses.py
@@ -27,6 +27,7 @@
 WITH_LENGTH = START + b"Content-Length: 2\r\n\r\nok"
 CHUNKED = START + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
 WITHOUT_LENGTH = START + b"Connection: close\r\n\r\n"
+UNKNOWN_CODING = START + b"Transfer-Encoding: chun\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 
 
 class BreakingServer:
@@ -108,6 +109,7 @@
     "without length": (WITHOUT_LENGTH + b"ok", False, True),
     "without length, reset": (WITHOUT_LENGTH + b"ok", True, False),
     "without length, reset after the head": (WITHOUT_LENGTH, True, False),
+    "in a coding cut short": (UNKNOWN_CODING, False, False),
     "cut in its head": (WITHOUT_LENGTH[:-2], False, False),
     "with length, cut": (WITH_LENGTH[:-1], False, False),
     "in chunks, cut": (CHUNKED, False, False),
