--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -13,6 +13,7 @@
     PathLostError,
 )
 from dotterelpitch.upstream.response_source import ResponseSource
+from dotterelpitch.upstream.transfer_codings import TRANSFER_ENCODING, are_readable
 
 # Reading from the engine pauses while more than this of a body is unread.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
@@ -190,7 +191,7 @@
         self._raw_headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
-        if self._is_complete:
+        if self._is_complete or self._error is not None:
             return
         status = self._parser.get_status_code()
         value_by_name = {name.lower(): value for name, value in self._raw_headers}
@@ -200,10 +201,11 @@
         if not self._parser.should_keep_alive():
             self.is_reusable = False
         self._record_idle_limit(value_by_name.get("keep-alive", ""))
-        self._ends_at_close = (
-            "content-length" not in value_by_name
-            and "chunked" not in value_by_name.get("transfer-encoding", "").lower()
-        )
+        codings = self._transfer_codings()
+        if not are_readable(codings):
+            self._fail(AnswerGarbledError(f"sent in transfer codings {codings}"))
+            return
+        self._ends_at_close = "content-length" not in value_by_name and not codings
         self._overhead_bytes = 0
         self.has_responded = True
         self._head = HttpResponseHead(status, self._raw_headers, value_by_name)
@@ -249,6 +251,10 @@
         self.is_reusable = False
         return True
 
+    def _transfer_codings(self) -> list[str]:
+        """Return the value of each Transfer-Encoding field."""
+        return [v for n, v in self._raw_headers if n.lower() == TRANSFER_ENCODING]
+
     def _record_idle_limit(self, keep_alive: str) -> None:
         if match := _KEEP_ALIVE_TIMEOUT.search(keep_alive):
             self.idle_limit_s = float(match.group(1))
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from dotterelpitch.upstream.connection import MAX_OVERHEAD_BYTES, EngineConnection
+from dotterelpitch.upstream.connection import (
+    MAX_HEAD_BYTES,
+    MAX_OVERHEAD_BYTES,
+    EngineConnection,
+)
 from dotterelpitch.upstream.errors import (
     AnswerGarbledError,
     AnswerLostError,
@@ -139,6 +143,90 @@
         await read_all(connection)
 
 
+EARLIER = STALE.replace(b"r0", b"r1").replace(b"old", b"one")
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+FRAMED = {
+    "length": COMPLETE,
+    "chunks": CHUNKED + b"0\r\n\r\n",
+    "trailers": CHUNKED + b"0\r\nX-Trailer: a\r\n\r\n",
+    "no length": OK + b"\r\n",
+    "interim answer before": INTERIM + COMPLETE,
+    "another's answer before": STALE + COMPLETE,
+}
+
+
+# Guards against: an answer that was cut, in its head or behind it, is taken for whole.
+@pytest.mark.parametrize("answer", FRAMED.values(), ids=FRAMED.keys())
+@pytest.mark.parametrize("error", [None, ConnectionResetError()], ids=["FIN", "RST"])
+@pytest.mark.parametrize("is_kept", [False, True], ids=["first", "kept connection"])
+async def test_answer_cut_at_any_byte_is_none(answer, error, is_kept):
+    for end in range(len(answer)):
+        connection, _ = connection_with_sent_request()
+        if is_kept:
+            connection.data_received(EARLIER)
+            await read_all(connection)
+            connection.finish(0.0)
+            connection.send(b"GET / HTTP/1.1\r\n\r\n", "r1")
+        connection.data_received(answer[:end])
+        if error is None:
+            connection.eof_received()
+        connection.connection_lost(error)
+        with pytest.raises(AnswerLostError):
+            await read_all(connection)
+
+
+DAMAGED_FRAMING = {
+    "coding cut short": b"Transfer-Encoding: chun",
+    "coding of the content": b"Transfer-Encoding: gzip",
+    "coding before chunks": b"Transfer-Encoding: gzip, chunked",
+    "coding after chunks": b"Transfer-Encoding: chunked, gzip",
+    "another coding in a field before": (
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked"
+    ),
+    "another coding in a field after": (
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip"
+    ),
+    "coding cut off": b"Transfer-Encoding:",
+    "name cut short": b"Transf",
+    "length cut off": b"Content-Length:",
+    "two lengths in a field": b"Content-Length: 2, 2",
+    "two lengths": b"Content-Length: 2\r\nContent-Length: 1",
+    "length and chunks": b"Content-Length: 2\r\nTransfer-Encoding: chunked",
+    "line without CR": b"Content-Length: 2\nX-A: b",
+}
+
+
+# Guards against: an answer whose framing was damaged on the way is passed on as whole,
+# with the sizes of its chunks or in a coding that the caller doesn't know.
+@pytest.mark.parametrize(
+    "framing", DAMAGED_FRAMING.values(), ids=DAMAGED_FRAMING.keys()
+)
+async def test_answer_with_damaged_framing_is_refused(framing):
+    connection, transport = connection_with_sent_request()
+    connection.data_received(OK + framing + b"\r\n\r\n2\r\nhi\r\n0\r\n\r\n")
+    connection.eof_received()
+    connection.connection_lost(None)
+    with pytest.raises(AnswerLostError):
+        await read_all(connection)
+    assert transport.closed
+
+
+# Guards against: an answer with too long a head is passed on without the fields beyond
+# the limit if it comes in one piece.
+@pytest.mark.parametrize(
+    "fields",
+    [b"X-Long: " + b"x" * MAX_HEAD_BYTES, b"X:\r\n" * 999],
+    ids=["one field", "fields"],
+)
+async def test_answer_with_too_long_a_head_is_refused(fields):
+    connection, transport = connection_with_sent_request()
+    head = OK + fields.strip() + b"\r\nContent-Length: 2\r\n\r\n"
+    connection.data_received(head + b"hi")
+    with pytest.raises(AnswerGarbledError):
+        await connection.read_head()
+    assert transport.closed
+
+
 # Guards against: a second copy of an earlier response, such as a rejection, is taken
 # for that to the next request.
 @pytest.mark.parametrize("unsolicited", [STALE, STALE_REFUSAL, REFUSAL_WITHOUT_ID])
