Escape bytes that aren't UTF-8 in the names of prompt parts

Cause: aiohttp decodes header fields with surrogate escapes, and the names of prompt parts were used as text from there on. Text with such escapes can't be encoded: not in the digests between gateways, whose crash reports name parts, nor for the hash that ranks engines by part.

Change: the names are escaped where the header is decoded, as "\xff" for the byte 0xFF. The header goes to the engine as it came.

--- a/dotterelpitch/platform/headers.py
+++ b/dotterelpitch/platform/headers.py
@@ -191,6 +191,10 @@
 
 
 def _decode_prompt_parts(text: str) -> tuple[str, ...]:
-    """Return the part ids of comma-separated entries such as ``5c1e07a2:800``."""
+    """Return the part ids of comma-separated entries such as ``5c1e07a2:800``.
+
+    Bytes that aren't UTF-8 are escaped, since peers and engines' records are in UTF-8.
+    """
+    text = text.encode("utf-8", "surrogateescape").decode("utf-8", "backslashreplace")
     entries = text.split(",") if text else ()
     return tuple(entry.strip().partition(":")[0] for entry in entries)
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -40,6 +40,7 @@
         ("a:5", (), ("a",)),
         ("a:5,b:6", ("a",), ("a",)),
         ("a:5, b:6,c:7", ("a", "b"), ("a", "b")),
+        ("\udcff:5,\udcfe:6,c:7", ("\\xff", "\\xfe"), ("\\xff", "\\xfe")),
     ],
 )
 def test_leading_parts_are_all_but_the_last(prompt, leading, shared):
