Leave a silent engine only for one that has room

What callers saw: 200, some events of a stream, and a close, while their engine was silent and sound, and the engines that weren't silent were full.

Cause: the class is that of, giving up what one has before knowing that there is something in its place. The engine for which a silent one was left was asked to be alive, not to have room. With some engines silent the others fill up, the call was rejected there (503, Not-Executed), and as the rejected attempt counts as the last one, nothing followed: no_retry "no retry is left", "status 503 in the middle of a stream".

Now an engine counts as full if one more request takes over 0.8 of the slots in its record, by this VM's counts and those of its peers, and no silent engine is left for it.

What remains: all VMs leave their silent engines at the same moment, so their counts of each other are too old, and several go to the last free slots. The attempt that was rejected isn't followed by another one.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -274,6 +274,7 @@
             selection,
             rules,
             self.engine_tracker,
+            self.loads,
             self.rate_limits,
             peer_forwarder,
             run_check,
--- a/dotterelpitch/gateway/successor_finder.py
+++ b/dotterelpitch/gateway/successor_finder.py
@@ -2,11 +2,11 @@
 
 A silent engine may go on, and what it has begun is lost once its connection is closed.
 So an attempt is left for its silence alone only after it is known who takes the call
-and that the rules allow it: another engine that isn't silent too, or a peer that
-reaches engines while this VM reaches none.
+and that the rules allow it: another engine that has room and isn't silent too, or a
+peer that reaches engines while this VM reaches none.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from attrs import define, evolve, field
 
@@ -23,6 +23,7 @@
 from dotterelpitch.routing.attempt_outcomes import AttemptOutcome
 from dotterelpitch.routing.engine_choice import EngineChoice
 from dotterelpitch.routing.engines import Engine
+from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
@@ -30,6 +31,9 @@
 # An engine that has sent something within this time isn't silent.
 HEARD_SECONDS = 0.3
 CHECK_TIMEOUT_SECONDS = 0.25
+# An engine with a larger share of its slots in use may reject the call, since the
+# counts of the other VMs are out of date.
+MAX_USED_SLOTS_SHARE = 0.8
 # An engine that hasn't responded to a check isn't asked again sooner.
 CHECK_INTERVAL_SECONDS = 1.0
 
@@ -45,6 +49,7 @@
     _selection: EngineSelection
     _rules: CallRules
     _tracker: EngineTracker
+    _loads: FleetLoads
     _rate_limits: FleetRateLimits
     _peer_forwarder: PeerForwarder
     _run_check: RunCheck
@@ -72,20 +77,32 @@
     async def _find_engine(
         self, call: Call, progress: CallProgress
     ) -> EngineChoice | None:
-        """Return an engine that can take the call; for a stream, one that lives."""
+        """Return an engine for the call; for a stream, one with room that lives."""
         if call.route.kind is not CallKind.STREAM:
             return self._selection.select_untried(call, progress)
         usable = self._state.directory.usable(call.service)
+        full_ids = self._full_ids(usable)
         silent_ids = [e.id for e in usable if not self._is_heard(e)]
-        choice = self._selection.select_untried(call, progress, silent_ids)
+        avoided_ids = full_ids + silent_ids
+        choice = self._selection.select_untried(call, progress, avoided_ids)
         if choice is not None:
             return choice
-        choice = self._selection.select_untried(call, progress)
+        choice = self._selection.select_untried(call, progress, full_ids)
         if choice is None or await self._responds(choice.engine):
             return choice
         self._rate_limits.limiter.take_back(choice.engine)
         return None
 
+    def _full_ids(self, engines: Collection[Engine]) -> list[str]:
+        """Return the engines that may reject one more request."""
+        load_by_id = self._loads.totals(engine.id for engine in engines)
+        return [
+            engine.id
+            for engine in engines
+            if engine.slots
+            and load_by_id[engine.id] + 1 > MAX_USED_SLOTS_SHARE * engine.slots
+        ]
+
     def _is_heard(self, engine: Engine) -> bool:
         oldest = self._clock.monotonic() - HEARD_SECONDS
         return self._tracker.crash_detector.has_outlived(engine.id, oldest)
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -14,6 +14,8 @@
 
 # Longer than a stream may stall before another engine may go on with it.
 SILENCE_SECONDS = 2.0
+# As many requests run at once at an engine of the fleet, by its record.
+SLOTS = 4
 EVENTS = [f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2)]
 NO_RETRIES = {
     "grace_s": 5,
@@ -81,6 +83,12 @@
     fleet.register_engine(other, state="draining")
 
 
+async def reject(exchange: EngineExchange) -> None:
+    """Reject the request."""
+    lines = ("Not-Executed: 1", "Content-Length: 0")
+    exchange.write_head("503 Service Unavailable", *lines)
+
+
 REASONS = [
     spend_the_retries,
     stop_listening,
@@ -115,3 +123,25 @@
     assert EVENTS[1].strip() in response
     assert response.endswith(b"0\r\n\r\n")
     assert len(silent.exchanges) == 1
+
+
+# Guards against: a stream is cut since its silent engine is left for one that is full
+# and rejects it.
+async def test_stream_stays_at_its_silent_engine_if_the_others_are_full(fleet):
+    address = fleet.gateways[0].caller_address
+    for engine in fleet.engines:
+        engine.script = [hang] * SLOTS
+        engine.behavior = reject
+    waiting = [
+        asyncio.create_task(send_raw(address, request_bytes(f"/stream/{n}")))
+        for n in range(2 * SLOTS - 1)
+    ]
+    await eventually(lambda: len(fleet.exchanges()) == len(waiting), 2.0, "they run")
+    free, full = sorted(fleet.engines, key=lambda e: len(e.exchanges))
+    assert len(full.exchanges) == SLOTS
+    free.script = [stream_with_silence(SILENCE_SECONDS)]
+    request = request_bytes("/resumable/1", headers=("Deadline-Ms: 4500",))
+    response = await send_raw(address, request)
+    assert EVENTS[1].strip() in response
+    assert response.endswith(b"0\r\n\r\n")
+    await asyncio.gather(*waiting)
