Let a peer go on with a stream that was admitted elsewhere

What callers saw: 200, some events of a stream, and a close, while all engines were silent for different times and no VM was cut off.

Cause: a VM whose engines are all silent takes itself for cut off, and leaves a stream for a peer that says it reaches engines. The peer treated the call as a new one, and its concurrency rule refused it: "the engines have more work than they can do in time". In the middle of a stream that refusal can't be passed on ("the peer answered 503 in the middle", no_retry "a peer has begun the stream").

Now the rule doesn't forbid a call that has been sent to an engine: it was admitted at the VM that took it, and counts there already. The other rules hold as before.

--- a/dotterelpitch/gateway/call_rules.py
+++ b/dotterelpitch/gateway/call_rules.py
@@ -112,12 +112,17 @@
 
 @define
 class ConcurrencyRule(CallRule):
-    """The service must be able to respond in time to one more call."""
+    """The service must be able to respond in time to one more call.
+
+    A call that a peer has sent to an engine before was admitted there.
+    """
 
     reason = "the engines have more work than they can do in time"
     _limiter: AdaptiveConcurrencyLimiter
 
     def forbids(self, call: Call, progress: CallProgress) -> bool:
+        if progress.sent_count:
+            return False
         return not self._limiter.admits(call.service, call.priority, call.account_name)
 
 
--- a/tests/test_call_rules.py
+++ b/tests/test_call_rules.py
@@ -129,6 +129,13 @@
         ),
         (ConcurrencyRule(make_admission(True)), make_call(), make_progress(), False),
         (ConcurrencyRule(make_admission(False)), make_call(), make_progress(), True),
+        # Guards against: a peer refuses to go on with a stream that has begun.
+        (
+            ConcurrencyRule(make_admission(False)),
+            make_call(),
+            make_progress(sent_count=1),
+            False,
+        ),
         (
             RateLimitRule(make_admission(True), DIRECTORY),
             make_call(),
