--- a/dotterelpitch/gateway/successor_finder.py
+++ b/dotterelpitch/gateway/successor_finder.py
@@ -2,11 +2,12 @@
 
 A silent engine may go on, and what it has begun is lost once its connection is closed.
 So an attempt is left for its silence alone only after it is known who takes the call
-and that the rules allow it: another engine that isn't silent too, or, before anything
-of the response has come, a peer that reaches engines while this VM reaches none.
+and that the rules allow it: another engine that has room and isn't silent too, or,
+before anything of the response has come, a peer that reaches engines while this VM
+reaches none.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from attrs import define, evolve, field
 
@@ -23,6 +24,7 @@
 from dotterelpitch.routing.attempt_outcomes import AttemptOutcome
 from dotterelpitch.routing.engine_choice import EngineChoice
 from dotterelpitch.routing.engines import Engine
+from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
@@ -30,6 +32,9 @@
 # An engine that has sent something within this time isn't silent.
 HEARD_SECONDS = 0.3
 CHECK_TIMEOUT_SECONDS = 0.25
+# An engine with a larger share of its slots in use may reject the call, since the
+# counts of the other VMs are out of date.
+MAX_USED_SLOTS_SHARE = 0.8
 # An engine that hasn't responded to a check isn't asked again sooner.
 RECHECK_SECONDS = 1.0
 # Each VM asks one engine at a time, so that its other checks have room.
@@ -47,6 +52,7 @@
     _selection: EngineSelection
     _rules: CallRules
     _tracker: EngineTracker
+    _loads: FleetLoads
     _rate_limits: FleetRateLimits
     _peer_forwarder: PeerForwarder
     _run_check: RunCheck
@@ -81,16 +87,21 @@
         return is_reserved
 
     def _select(self, call: Call, progress: CallProgress) -> EngineChoice | None:
-        """Return an engine that has been heard just now, else one that may be asked."""
+        """Return an engine that has been heard just now, else one that may be asked.
+
+        For a stream it has room.
+        """
         usable = self._state.directory.usable(call.service)
+        full_ids = self._full_ids(usable)
         unheard_ids = [e.id for e in usable if not self._is_heard(e)]
-        choice = self._selection.select_untried(call, progress, unheard_ids)
+        avoided_ids = full_ids + unheard_ids
+        choice = self._selection.select_untried(call, progress, avoided_ids)
         if choice is not None or call.route.kind is not CallKind.STREAM:
             return choice or self._selection.select_untried(call, progress)
         if self._clock.monotonic() - self._checked_at < CHECK_INTERVAL_SECONDS:
             return None
-        silent_ids = self._recently_silent_ids()
-        return self._selection.select_untried(call, progress, silent_ids)
+        avoided_ids = full_ids + self._recently_silent_ids()
+        return self._selection.select_untried(call, progress, avoided_ids)
 
     def _recently_silent_ids(self) -> list[str]:
         """Return the engines that have met a check with silence lately."""
@@ -102,6 +113,16 @@
         }
         return list(self._silent_at_by_engine)
 
+    def _full_ids(self, engines: Collection[Engine]) -> list[str]:
+        """Return the engines that may reject one more request."""
+        load_by_id = self._loads.totals(engine.id for engine in engines)
+        return [
+            engine.id
+            for engine in engines
+            if engine.slots
+            and load_by_id[engine.id] + 1 > MAX_USED_SLOTS_SHARE * engine.slots
+        ]
+
     def _is_heard(self, engine: Engine) -> bool:
         oldest = self._clock.monotonic() - HEARD_SECONDS
         return self._tracker.crash_detector.has_outlived(engine.id, oldest)
--- a/tests/test_successor_finder.py
+++ b/tests/test_successor_finder.py
@@ -17,7 +17,7 @@
 
     mock = MagicMock()
     finder = SuccessorFinder(
-        SystemClock(), mock, mock, mock, mock, mock, mock, run_check
+        SystemClock(), mock, mock, mock, mock, mock, mock, mock, run_check
     )
     engine = MagicMock(id="e1", address="127.0.0.1:1")
     assert not await finder._responds(engine)
