--- a/tests/harness/gateway_fleet.py
+++ b/tests/harness/gateway_fleet.py
@@ -150,9 +150,12 @@
         self.gateways: list[GatewayProcess] = []
         self._folder = folder
 
-    async def start(self, gateways: int = 1, **settings) -> GatewayProcess:
+    async def start(
+        self, gateways: int = 1, limits: dict | None = None, **settings
+    ) -> GatewayProcess:
         """Start everything; return the first gateway once all are ready.
 
+        ``limits`` are the resources that every VM is told, if not the usual ones.
         ``settings`` are GatewaySettings of every gateway, passed as flags.
         """
         await self.store.start(free_address())
@@ -163,6 +166,9 @@
         for _ in range(gateways):
             self.add_gateway(self.store.address, **settings)
         for gateway in self.gateways:
+            if limits:
+                seeds = [] if gateway is self.gateways[0] else self._seeds()
+                gateway.write_settings(self.store.address, seeds, limits=limits)
             await gateway.process.start()
         for gateway in self.gateways:
             await gateway.wait_ready()
@@ -170,12 +176,14 @@
 
     def add_gateway(self, store: str, **settings) -> GatewayProcess:
         """Add a gateway, not started yet, with the first one as its seed."""
-        seeds = [self.gateways[0].peer_address] if self.gateways else []
         name = f"vm{len(self.gateways) + 1}"
-        gateway = GatewayProcess(name, self._folder, store, seeds, **settings)
+        gateway = GatewayProcess(name, self._folder, store, self._seeds(), **settings)
         self.gateways.append(gateway)
         return gateway
 
+    def _seeds(self) -> list[str]:
+        return [gateway.peer_address for gateway in self.gateways[:1]]
+
     def register_engine(
         self, engine: ScriptedEngine, state: str = "ready", version: str = ""
     ) -> None:
