Decode a peer's frame once it is complete, and bound the first ones

A process ended for its memory: whoever reached the peers' address and sent the first frame as an array of strings without end, or 60 clients with 4 MB each of one.

Cause: the decoder's bound of 4 MiB counted the bytes that weren't decoded yet. The items of an incomplete array are objects by then and were counted nowhere (256 MB fed to it: 316 MB held). And each of the 128 connections in their handshake, which need no key, had the whole 4 MiB.

Change: the end of a frame is found without decoding it, then it is decoded; an incomplete frame is its bytes and nothing more. During the handshake 16 KiB are enough.

Routers and agents use the same decoder.

--- a/dotterelpitch/protocol/codec.py
+++ b/dotterelpitch/protocol/codec.py
@@ -70,16 +70,23 @@
 class FrameDecoder:
     """Buffers received bytes and yields the complete frames in them.
 
-    ``frame_bytes`` is the size of the frame that was yielded last.
+    Nothing of a frame is decoded before it is complete, so an incomplete one takes no
+    more memory than its bytes. ``frame_bytes`` is the size of the frame that was
+    yielded last.
     """
 
     def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
-        self._unpacker = msgpack.Unpacker(
-            max_buffer_size=max_frame_bytes, use_list=False, strict_map_key=True
-        )
-        self._decoded_bytes = 0
+        self._max_frame_bytes = max_frame_bytes
+        self._scanner = msgpack.Unpacker(max_buffer_size=max_frame_bytes)
+        self._buffer = bytearray()
+        self._scanned_bytes = 0
         self.frame_bytes = 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The size of what has come of the frame that is still incomplete."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[tuple[int, Any]]:
         """Yield ``(stream, message)`` for each frame that ``data`` completes.
 
@@ -87,14 +94,31 @@
         unknown message kinds.
         """
         try:
-            self._unpacker.feed(data)
-            for raw in self._unpacker:
-                end = self._unpacker.tell()
-                self.frame_bytes = end - self._decoded_bytes
-                self._decoded_bytes = end
-                yield _decode(raw)
+            self._scanner.feed(data)
+            self._buffer += data
+            while self._find_end():
+                frame = bytes(self._buffer[: self.frame_bytes])
+                del self._buffer[: self.frame_bytes]
+                yield _decode(_unpack(frame))
         except (msgpack.UnpackException, ValueError, msgpack.BufferFull) as error:
             raise ProtocolError(f"invalid msgpack frame: {error}") from error
+        if len(self._buffer) > self._max_frame_bytes:
+            raise ProtocolError(f"a frame is above {self._max_frame_bytes} bytes")
+
+    def _find_end(self) -> bool:
+        """Return whether a frame is complete, and note its size."""
+        try:
+            self._scanner.skip()
+        except msgpack.OutOfData:
+            return False
+        end = self._scanner.tell()
+        self.frame_bytes = end - self._scanned_bytes
+        self._scanned_bytes = end
+        return True
+
+
+def _unpack(frame: bytes) -> Any:
+    return msgpack.unpackb(frame, use_list=False, strict_map_key=True)
 
 
 def _decode(raw: Any) -> tuple[int, Any]:
--- a/dotterelpitch/protocol/handshake.py
+++ b/dotterelpitch/protocol/handshake.py
@@ -23,6 +23,8 @@
 
 CONNECTION_STREAM = 0
 READ_CHUNK_BYTES = 64 * 1024
+# Bounds a frame of the handshake; names and proofs take some hundred bytes.
+MAX_HANDSHAKE_FRAME_BYTES = 16 * 1024
 
 
 @frozen
@@ -118,6 +120,8 @@
                     f"expected {expected.__name__}, got {type(content).__name__}"
                 )
             return content
+        if decoder.buffered_bytes > MAX_HANDSHAKE_FRAME_BYTES:
+            raise ProtocolError("the first frame is too large")
     raise ConnectionLostError("connection closed during the handshake")
 
 
