Bound the memory of all heads together, whole or not

A process ended for its memory when clients sent heads without end: 40 that send fields of 8,000 bytes took 1.2 to 1.4 GB in 2.5 s of a gateway that is told 120 MB.

Cause: the parser bounds each line (32 KiB) and the number of fields (4,096), nobody their product, 128 MB a connection, held twice; max_header_bytes is looked at once the head is whole. Behind a request in progress, and after a body in chunks, header_timeout_ms doesn't apply either. Short fields take most of a megabyte on each connection, and a whole head is held as long as its body doesn't come.

One sum for callers, readiness, metrics.

--- a/dotterelpitch/gateway/caller_protocol.py
+++ b/dotterelpitch/gateway/caller_protocol.py
@@ -4,12 +4,14 @@
 import socket
 from typing import Any
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestHandler
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.body_memory import BYTES_PER_MB
+from dotterelpitch.gateway.head_memory import HeadMemory
 from dotterelpitch.gateway.intake_pacer import IntakePacer, PacedInput, is_costly
+from dotterelpitch.telemetry.events import Event, log_event
 
 # Read at once from a connection; in one turn of the event loop many may be read.
 READ_BYTES = 16 * 1024
@@ -21,6 +23,7 @@
 CONNECTION_BYTES = 64 * 1024
 CONNECTION_MEMORY_SHARE = 0.25
 MIN_CONNECTIONS = 64
+END_OF_HEAD = b"\r\n\r\n"
 
 
 def max_connections(memory_mb: int) -> int:
@@ -44,6 +47,8 @@
         self._server = server
         self._held = bytearray()
         self._is_discarding = False
+        self._newest_body: StreamReader | None = None
+        self.heads = server.head_memory.hold(self._count_open, self._drop_heads)
         self.is_handling = False
         self.head_since: float | None = None
         self.unread_since: float | None = None
@@ -111,12 +116,33 @@
         return self._request_count > 0 and not (is_waiting or is_skipping_body)
 
     def _parse(self, data: bytes) -> None:
+        if self._is_discarding:
+            return
+        requests, body_bytes = self._request_count, self._count_body_bytes()
         super().data_received(data)
+        if self._request_count > requests:
+            self._newest_body = self._messages[-1][1]
+            end = data.find(END_OF_HEAD)
+            head = data if end < 0 else data[: end + len(END_OF_HEAD)]
+            self.heads.complete(head, self._request_count - requests)
+        elif self._count_body_bytes() == body_bytes:
+            self.heads.grow(data)
         if self._messages or self._request_in_progress:
             self.head_since = None
         elif data and self.head_since is None:
             self.head_since = self._server.clock.monotonic()
 
+    def _count_body_bytes(self) -> int:
+        return self._newest_body.total_bytes if self._newest_body is not None else 0
+
+    def _count_open(self) -> int:
+        return len(self._messages) + self._request_in_progress
+
+    def _drop_heads(self) -> None:
+        log_event(Event.HEADS_DROPPED)
+        self.discard_input()
+        abort(self)
+
     def _resume_transport_reading(self) -> None:
         """Read again, unless input is held back or a buffer is full."""
         is_full = self._reading_paused or self._buffer_paused
@@ -132,11 +158,18 @@
     """
 
     def __init__(
-        self, handler: Any, clock: Clock, pacer: IntakePacer, most: int, **settings: Any
+        self,
+        handler: Any,
+        clock: Clock,
+        pacer: IntakePacer,
+        head_memory: HeadMemory,
+        most: int,
+        **settings: Any,
     ) -> None:
         super().__init__(handler, **settings)
         self.clock = clock
         self.pacer = pacer
+        self.head_memory = head_memory
         self._most = most
         self._open: set[RequestHandler] = set()
         self._all_closed = asyncio.Event()
@@ -157,6 +190,7 @@
     ) -> None:
         """Record that a connection has ended; what was written is sent, or lost."""
         super().connection_lost(handler, exc)
+        handler.heads.release()
         self._open.discard(handler)
         if not self._open:
             self._all_closed.set()
--- a/dotterelpitch/gateway/listeners.py
+++ b/dotterelpitch/gateway/listeners.py
@@ -13,6 +13,7 @@
     listening_socket,
     max_connections,
 )
+from dotterelpitch.gateway.head_memory import HeadMemory
 from dotterelpitch.gateway.intake_pacer import IntakePacer
 from dotterelpitch.telemetry.events import Event, log_event
 
@@ -44,6 +45,7 @@
     callers: CallerServer
     _clock: Clock
     _pacer: IntakePacer
+    _head_memory: HeadMemory
     _is_ready: Callable[[], bool]
     _render_metrics: Callable[[], str]
     _callers_listener: asyncio.Server | None = field(default=None, init=False)
@@ -60,13 +62,15 @@
     ) -> "Listeners":
         """Return listeners that pass callers' requests to ``handle``.
 
-        ``memory_mb`` is the memory of the VM, which bounds the connections.
+        ``memory_mb`` is the memory of the VM, which bounds the connections and heads.
         """
         pacer = IntakePacer(clock)
+        head_memory = HeadMemory.for_vm(memory_mb)
         callers = CallerServer(
             handle,
             clock,
             pacer,
+            head_memory,
             max_connections(memory_mb),
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
@@ -75,7 +79,7 @@
             max_headers=MAX_FIELDS,
             **PARSING,
         )
-        return cls(callers, clock, pacer, is_ready, render_metrics)
+        return cls(callers, clock, pacer, head_memory, is_ready, render_metrics)
 
     async def open(self, callers: str, ready: str, metrics: str) -> None:
         """Listen on three addresses (``IP:port``).
@@ -101,7 +105,12 @@
     def _create_small(self, handle: Callable) -> CallerServer:
         """Return a server for the platform's few requests."""
         return CallerServer(
-            handle, self._clock, self._pacer, MAX_OTHER_CONNECTIONS, **PARSING
+            handle,
+            self._clock,
+            self._pacer,
+            self._head_memory,
+            MAX_OTHER_CONNECTIONS,
+            **PARSING,
         )
 
     def close_callers(self) -> None:
--- a/dotterelpitch/telemetry/events.py
+++ b/dotterelpitch/telemetry/events.py
@@ -111,6 +111,7 @@
     REQUEST_REFUSED = (503, logging.WARNING, "a request was rejected before it ran")
     CALLER_LEFT = (504, logging.INFO, "a caller left before its response was complete")
     BODY_UNREAD = (505, logging.INFO, "a connection ends in the body of a refused call")
+    HEADS_DROPPED = (506, logging.INFO, "a connection ends, as its heads are too large")
     REQUEST_BROKE = (502, logging.ERROR, "a request failed with an internal error")
     KEYED_DISPATCHED = (510, logging.INFO, "a keyed call was dispatched to an endpoint")
     KEYED_ENDED = (511, logging.INFO, "the outcome of a keyed call was recorded")
