Close as many connections as come beyond those that a VM takes

700 clients that connect to the readiness address and send nothing opened 711 descriptors in a gateway that takes 64 connections there; each reset one connects again at once.

A connection that was being closed counted until its end was recorded, and was chosen again to make room: of a batch that came in one turn of the event loop one connection was closed. And asyncio accepts as many in one turn as the kernel queues, 1,024, before any of them is looked at.

Change: one that ends isn't counted or chosen; 64 are accepted at once, and the kernel's queue keeps its 1,024 by a second listen, since asyncio takes one number for both.

--- a/dotterelpitch/gateway/caller_protocol.py
+++ b/dotterelpitch/gateway/caller_protocol.py
@@ -203,7 +203,7 @@
 
     def make_room(self) -> None:
         """Close a connection if there are too many."""
-        connections = self.connections
+        connections = [c for c in self.connections if not is_closing(c)]
         if len(connections) <= self._most:
             return
         idle = [c for c in connections if not c.is_in_request]
@@ -211,6 +211,11 @@
         abort(victim)
 
 
+def is_closing(connection: RequestHandler) -> bool:
+    """Return whether a connection ends, though its end isn't recorded yet."""
+    return connection.transport is None or connection.transport.is_closing()
+
+
 def abort(connection: RequestHandler) -> None:
     """Reset a connection at once."""
     if connection.transport is not None:
--- a/dotterelpitch/gateway/listeners.py
+++ b/dotterelpitch/gateway/listeners.py
@@ -24,6 +24,8 @@
 MAX_LINE_BYTES = 32 * 1024
 # Bounds the connections that wait to be accepted.
 BACKLOG = 1024
+# Accepted in one turn of the event loop, before any of them can be closed again.
+ACCEPTED_AT_ONCE = 64
 # Bounds the header fields of a request; their bytes are bounded by the config.
 MAX_FIELDS = 4096
 # Connections for readiness checks and for metrics.
@@ -144,4 +146,6 @@
 async def _listen(server: CallerServer, address: str) -> asyncio.Server:
     loop = asyncio.get_running_loop()
     sock = listening_socket(address)
-    return await loop.create_server(server, sock=sock, backlog=BACKLOG)
+    listener = await loop.create_server(server, sock=sock, backlog=ACCEPTED_AT_ONCE)
+    sock.listen(BACKLOG)  # asyncio takes one number for both.
+    return listener
