Bound callers' connections by the descriptors that a VM is told

Beyond its limit a process can't accept, nor reach its engines, the store, or its peers.

Cause: the number of callers' connections came from the memory alone; max_fds wasn't read.

Change: they stay within 0.4 of what is left after 200 descriptors for files, since each may need a connection to an engine, and peers and the store need some. With 4,096 to 8,192 descriptors and 160 to 552 MB, as the deployments have, the memory is the narrower bound, as before. Without the number nothing changes.

test_hostile_heads[silence] at the callers' address, told 600: 363 descriptors. The whole table: 12 of 12 passed, 48 s together with test_body_memory.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -191,6 +191,7 @@
         listeners = Listeners.create(
             self._clock,
             self._vm.memory_mb,
+            self._vm.descriptors,
             self.ingress.handle,
             self._is_ready,
             self.metrics.render,
--- a/dotterelpitch/gateway/caller_protocol.py
+++ b/dotterelpitch/gateway/caller_protocol.py
@@ -23,13 +23,25 @@
 CONNECTION_BYTES = 64 * 1024
 CONNECTION_MEMORY_SHARE = 0.25
 MIN_CONNECTIONS = 64
+# Descriptors that aren't for connections.
+FILE_DESCRIPTORS = 200
+# A caller's connection may need another one to an engine; the rest is for peers, the
+# store, and checks.
+CONNECTION_DESCRIPTOR_SHARE = 0.4
 END_OF_HEAD = b"\r\n\r\n"
 
 
-def max_connections(memory_mb: int) -> int:
-    """Return how many connections of callers a VM with this memory can hold."""
+def max_connections(memory_mb: int, descriptors: int = 0) -> int:
+    """Return how many connections of callers a VM with these resources can hold.
+
+    ``descriptors`` is 0 if their number isn't known; then the memory alone counts.
+    """
     share = CONNECTION_MEMORY_SHARE * memory_mb * BYTES_PER_MB
-    return max(MIN_CONNECTIONS, int(share / CONNECTION_BYTES))
+    most = int(share / CONNECTION_BYTES)
+    if descriptors:
+        sockets = descriptors - FILE_DESCRIPTORS
+        most = min(most, int(CONNECTION_DESCRIPTOR_SHARE * sockets))
+    return max(MIN_CONNECTIONS, most)
 
 
 class CallerProtocol(RequestHandler, PacedInput):
--- a/dotterelpitch/gateway/listeners.py
+++ b/dotterelpitch/gateway/listeners.py
@@ -58,13 +58,15 @@
         cls,
         clock: Clock,
         memory_mb: int,
+        descriptors: int,
         handle: Callable,
         is_ready: Callable[[], bool],
         render_metrics: Callable[[], str],
     ) -> "Listeners":
         """Return listeners that pass callers' requests to ``handle``.
 
-        ``memory_mb`` is the memory of the VM, which bounds the connections and heads.
+        ``memory_mb`` is the memory of the VM, which bounds the connections and heads;
+        ``descriptors`` bounds the connections too.
         """
         pacer = IntakePacer(clock)
         head_memory = HeadMemory.for_vm(memory_mb)
@@ -73,7 +75,7 @@
             clock,
             pacer,
             head_memory,
-            max_connections(memory_mb),
+            max_connections(memory_mb, descriptors),
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
             max_line_size=MAX_LINE_BYTES,
--- a/dotterelpitch/platform/vm_settings.py
+++ b/dotterelpitch/platform/vm_settings.py
@@ -41,6 +41,7 @@
         store_address=_read_address(store, "address"),
         ip=read_field(content, "ip", str),
         memory_mb=int(read_field(limits, "memory_mb", (int, float))),
+        descriptors=int(read_field(limits, "max_fds", (int, float), 0)),
         link_mbps=int(read_field(limits, "link_mbps", (int, float), 0)),
         promises=_decode_bounds(read_field(content, "bounds", dict)),
     )
--- a/dotterelpitch/vm_settings.py
+++ b/dotterelpitch/vm_settings.py
@@ -31,7 +31,9 @@
 
     Addresses are ``IP:port``. ``peer_listen`` is where the other VMs reach this
     process; ``seeds`` are such addresses of up to three VMs, any of which may no
-    longer exist. The names of changed fields are logged when the file is reloaded.
+    longer exist. ``descriptors`` is how many files and sockets the process may open,
+    0 if that isn't known. The names of changed fields are logged when the file is
+    reloaded.
     """
 
     vm_name: str
@@ -43,5 +45,6 @@
     store_address: str
     ip: str
     memory_mb: int
+    descriptors: int
     link_mbps: int
     promises: FleetBounds
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -96,3 +96,13 @@
     bodies_mb = 2 * BodyMemory.for_vm(memory_mb).limit / BYTES_PER_MB
     connections_mb = max_connections(memory_mb) * CONNECTION_BYTES / BYTES_PER_MB
     assert bodies_mb + connections_mb <= 0.6 * memory_mb
+
+
+# Guards against: more connections than the process may open, or a bound by descriptors
+# where the memory bounds them already.
+@pytest.mark.parametrize(
+    ("memory_mb", "descriptors", "expected"),
+    [(300, 4100, 1200), (552, 8192, 2208), (300, 0, 1200), (300, 600, 160)],
+)
+def test_connections_fit_into_memory_and_descriptors(memory_mb, descriptors, expected):
+    assert max_connections(memory_mb, descriptors) == expected
