--- a/dotterelpitch/gateway/listeners.py
+++ b/dotterelpitch/gateway/listeners.py
@@ -13,6 +13,7 @@
     listening_socket,
     max_connections,
 )
+from dotterelpitch.gateway.head_memory import HeadMemory
 from dotterelpitch.gateway.intake_pacer import IntakePacer
 from dotterelpitch.telemetry.events import Event, log_event
 
@@ -23,6 +24,8 @@
 MAX_LINE_BYTES = 32 * 1024
 # Bounds the connections that wait to be accepted.
 BACKLOG = 1024
+# Accepted in one turn of the event loop, before any of them can be closed again.
+ACCEPTED_AT_ONCE = 64
 # Bounds the header fields of a request; their bytes are bounded by the config.
 MAX_FIELDS = 4096
 # Connections for readiness checks and for metrics.
@@ -44,6 +47,7 @@
     callers: CallerServer
     _clock: Clock
     _pacer: IntakePacer
+    _head_memory: HeadMemory
     _is_ready: Callable[[], bool]
     _render_metrics: Callable[[], str]
     _callers_listener: asyncio.Server | None = field(default=None, init=False)
@@ -54,20 +58,24 @@
         cls,
         clock: Clock,
         memory_mb: int,
+        descriptors: int,
         handle: Callable,
         is_ready: Callable[[], bool],
         render_metrics: Callable[[], str],
     ) -> "Listeners":
         """Return listeners that pass callers' requests to ``handle``.
 
-        ``memory_mb`` is the memory of the VM, which bounds the connections.
+        ``memory_mb`` is the memory of the VM, which bounds the connections and heads;
+        ``descriptors`` bounds the connections too.
         """
         pacer = IntakePacer(clock)
+        head_memory = HeadMemory.for_vm(memory_mb)
         callers = CallerServer(
             handle,
             clock,
             pacer,
-            max_connections(memory_mb),
+            head_memory,
+            max_connections(memory_mb, descriptors),
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
             max_line_size=MAX_LINE_BYTES,
@@ -75,7 +83,7 @@
             max_headers=MAX_FIELDS,
             **PARSING,
         )
-        return cls(callers, clock, pacer, is_ready, render_metrics)
+        return cls(callers, clock, pacer, head_memory, is_ready, render_metrics)
 
     async def open(self, callers: str, ready: str, metrics: str) -> None:
         """Listen on three addresses (``IP:port``).
@@ -101,7 +109,12 @@
     def _create_small(self, handle: Callable) -> CallerServer:
         """Return a server for the platform's few requests."""
         return CallerServer(
-            handle, self._clock, self._pacer, MAX_OTHER_CONNECTIONS, **PARSING
+            handle,
+            self._clock,
+            self._pacer,
+            self._head_memory,
+            MAX_OTHER_CONNECTIONS,
+            **PARSING,
         )
 
     def close_callers(self) -> None:
@@ -135,4 +148,6 @@
 async def _listen(server: CallerServer, address: str) -> asyncio.Server:
     loop = asyncio.get_running_loop()
     sock = listening_socket(address)
-    return await loop.create_server(server, sock=sock, backlog=BACKLOG)
+    listener = await loop.create_server(server, sock=sock, backlog=ACCEPTED_AT_ONCE)
+    sock.listen(BACKLOG)  # asyncio takes one number for both.
+    return listener
