Take back crashes whose only evidence was silence once the run goes on

What callers saw: 503, "requests with this content have crashed engines", for an hour or until a call with that content was complete, though no engine had ended. A ban was also why a stream at a silent engine could go on nowhere.

Cause: a silent check counts as the end of the engine's run, and nothing took that back.

A crash now says whether silence is its only evidence. It is dismissed when a response goes on whose request was sent before the silence was checked: the check asked the same run. The dismissal (DismissedRuns) holds for contents and parts, goes to all peers of link version 9 (DismissalExchange), and merges in any order. An end with other evidence is never dismissed; a later silence of the run counts again, under a name that all VMs share. A response to a request sent later, or to a new check, is no proof: a restarted engine gives both, and its record may still show the earlier start.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -16,6 +16,7 @@
 from dotterelpitch.gateway.call_rules import CallRules
 from dotterelpitch.gateway.crash_watcher import CrashWatcher
 from dotterelpitch.gateway.digest_exchange import DigestExchange
+from dotterelpitch.gateway.dismissal_exchange import DismissalExchange
 from dotterelpitch.gateway.engine_contact_exchange import EngineContactExchange
 from dotterelpitch.gateway.engine_contact_watcher import EngineContactWatcher
 from dotterelpitch.gateway.engine_selection import EngineSelection
@@ -327,6 +328,7 @@
         exchanges = [
             EngineContactExchange(self._clock, self.contact),
             LeavingEngineExchange(self.state),
+            DismissalExchange(self._clock, self.engine_tracker),
             rate_limits,
             EngineSpeedExchange(
                 self._clock, self._topology, self.engine_speeds, self.links.count
--- a/dotterelpitch/gateway/attempt_observer.py
+++ b/dotterelpitch/gateway/attempt_observer.py
@@ -90,7 +90,7 @@
     def data_received(self) -> None:
         """Record bytes of the response."""
         self._contact.record_data()
-        self._crash_watcher.heard_from(self._engine)
+        self._crash_watcher.response_continued(self._attempt)
 
     def output_received(self) -> None:
         """Record that bytes for the caller have arrived."""
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -3,7 +3,7 @@
 Whether a VM meets an engine again soon depends on its traffic, so it asks: at once
 when a connection breaks with a request in flight, and after a silence while a request
 waits. A crash is then known at the VM whose request it was, however few requests the
-VM has.
+VM has. An engine that was only silent and goes on hasn't crashed after all.
 """
 
 import asyncio
@@ -106,6 +106,10 @@
         """Record bytes from an engine."""
         self._tracker.heard_from(engine)
 
+    def response_continued(self, attempt: UnansweredAttempt) -> None:
+        """Record bytes of the response to a request that is in flight."""
+        self._tracker.response_continued(attempt)
+
     def output_received(self, attempt: UnansweredAttempt) -> None:
         """Record that the engine has sent the response or some of it."""
         self._detector.output_received(attempt)
@@ -113,7 +117,7 @@
     def attempt_answered(self, attempt: UnansweredAttempt) -> None:
         """Record a complete response."""
         self._detector.attempt_answered(attempt)
-        self._tracker.heard_from(attempt.engine)
+        self._tracker.response_continued(attempt)
 
     def attempt_closed(self, attempt: UnansweredAttempt) -> None:
         """Record a response that ended with its connection.
--- a/dotterelpitch/gateway/digest_exchange.py
+++ b/dotterelpitch/gateway/digest_exchange.py
@@ -18,6 +18,7 @@
     GatewayDigest,
     GatewayDigestOfEra,
 )
+from dotterelpitch.routing.crash_detector import is_run_of
 from dotterelpitch.routing.crash_history import Clearance, Crash
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.store_position import StorePosition
@@ -127,11 +128,16 @@
         engine = self._state.directory.engine_by_id.get(crash.engine)
         if engine is None or crash.age_ms > MAX_REPORT_AGE_MS:
             return
-        if crash.engine_run != str(engine.started_ms):
+        if not is_run_of(crash.engine_run, engine) or self._is_dismissed(crash):
             return
         crashed_at = self._clock.monotonic() - crash.age_ms / 1000
         self._engine_tracker.record_peer_report(engine, crashed_at)
 
+    def _is_dismissed(self, crash: CrashReport) -> bool:
+        """Return whether the run of a reported crash was only silent and goes on."""
+        run_key = crash.engine, crash.engine_run
+        return crash.is_silence and run_key in self._suspects.dismissed_runs
+
     @staticmethod
     def _log_crashes(peer: str, crashes: list[CrashReport]) -> None:
         if crashes:
@@ -158,6 +164,7 @@
             crash.engine_run,
             self._age_ms(crash.at),
             crash.was_running,
+            crash.is_silence,
         )
 
     def _crash(self, suspect: str, report: CrashReport) -> Crash:
@@ -167,6 +174,7 @@
             report.engine_run,
             self._wall_time(report.age_ms),
             report.was_running,
+            report.is_silence,
         )
 
     def _clearance(self, suspect: str, report: ClearanceReport) -> Clearance:
--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -6,9 +6,10 @@
 from dotterelpitch.gateway.attempt_result import AttemptResult
 from dotterelpitch.gateway.call import Call
 from dotterelpitch.routing.attempt_outcomes import AttemptOutcome
-from dotterelpitch.routing.crash_detector import CrashDetector
+from dotterelpitch.routing.crash_detector import CrashDetector, UnansweredAttempt
 from dotterelpitch.routing.crash_history import Crash
 from dotterelpitch.routing.crash_suspects import CrashSuspects, CrashVerdict
+from dotterelpitch.routing.dismissed_runs import Dismissal
 from dotterelpitch.routing.domain_reachability import DomainReachability
 from dotterelpitch.routing.engine_choice import EngineChoice
 from dotterelpitch.routing.engines import Engine
@@ -79,6 +80,15 @@
         self.crash_detector.heard_from(engine.id)
         self.domain_reachability.heard_from(engine.failure_domain)
 
+    def response_continued(self, attempt: UnansweredAttempt) -> None:
+        """Record bytes of a response, which only the run that got the request sends."""
+        self.heard_from(attempt.engine)
+        self._runs_go_on(self.crash_detector.response_continued(attempt), "")
+
+    def record_dismissals(self, dismissals: list[Dismissal], peer: str) -> None:
+        """Record what a peer has told of runs that counted as ended and go on."""
+        self._runs_go_on(self.suspects.dismissed_runs.merge(dismissals), peer)
+
     def record_attempt(
         self, call: Call, choice: EngineChoice, result: AttemptResult
     ) -> None:
@@ -115,7 +125,8 @@
         if self.health.state(engine.id) is not HealthState.SUSPECT:
             self.health.record_failure(engine.id, failure)
             self._log_if_suspect(engine, evidence)
-        self._record_crash(engine, evidence)
+        is_silence = failure is FailureKind.UNREACHABLE
+        self._record_crash(engine, evidence, is_silence)
 
     def record_engine_restart(self, previous: Engine) -> None:
         """Record that the registry lists another run in place of ``previous``."""
@@ -157,8 +168,24 @@
             self._record_crash(engine, result.reason)
         self._log_if_suspect(engine, result.reason)
 
-    def _record_crash(self, engine: Engine, evidence: str) -> None:
-        _log_crashes(engine, evidence, self.crash_detector.engine_ended(engine))
+    def _record_crash(
+        self, engine: Engine, evidence: str, is_silence: bool = False
+    ) -> None:
+        crashes = self.crash_detector.engine_ended(engine, is_silence)
+        _log_crashes(engine, evidence, crashes)
+
+    def _runs_go_on(self, dismissals: list[Dismissal], peer: str) -> None:
+        """Log the runs that go on; their engines don't return from an end."""
+        for dismissal in dismissals:
+            engine_id, run = dismissal.run_key
+            self._ended_ids.discard(engine_id)
+            log_event(
+                Event.CRASH_DISMISSED,
+                engine=engine_id,
+                run=run,
+                reason="a response of the run has gone on",
+                peer=peer,
+            )
 
     def _log_if_suspect(self, engine: Engine, reason: str) -> None:
         if self.health.state(engine.id) is HealthState.SUSPECT:
--- a/dotterelpitch/gateway/link.py
+++ b/dotterelpitch/gateway/link.py
@@ -19,7 +19,8 @@
     the fleet in contact that was sent last. ``streams_told`` are the streams whose
     origins were sent, and ``versions_sent`` is the update count of the history of
     versions sent last. ``leaving_sent`` is the same of the engines that leave by their
-    own word. ``speeds_sent`` is the number of the last sample of an engine's speed that
+    own word, and ``dismissals_sent`` that of the runs that have gone on after a
+    silence. ``speeds_sent`` is the number of the last sample of an engine's speed that
     was sent, at ``speeds_sent_at``. ``contact_sent`` is whether the peer was told that
     this VM reaches engines, and ``peer_reaches_engines`` what it has said of itself;
     None before that. ``peer_said_at`` is when, on the monotonic clock.
@@ -38,6 +39,7 @@
     streams_told: ToldStreams = field(factory=ToldStreams)
     versions_sent: int = 0
     leaving_sent: int = 0
+    dismissals_sent: int = 0
     speeds_sent: int = 0
     speeds_sent_at: float = float("-inf")
     contact_sent: bool | None = None
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -26,7 +26,9 @@
 EVACUATIONS_LINK_VERSION = 7
 # The first one whose gateways understand EngineSpeedDigest.
 ENGINE_SPEEDS_LINK_VERSION = 8
-LINK_VERSION = ENGINE_SPEEDS_LINK_VERSION
+# The first one whose gateways understand DismissalDigest.
+DISMISSALS_LINK_VERSION = 9
+LINK_VERSION = DISMISSALS_LINK_VERSION
 """The link version of this program."""
 
 
@@ -52,7 +54,8 @@
 
     ``fingerprint`` identifies the content of the request, or, behind a prefix, a
     part of its prompt. ``was_running`` is whether the engine had been sending the
-    response for a while.
+    response for a while. ``is_silence`` is whether nothing but the engine's silence
+    shows that it has ended; gateways that don't send it have False.
     """
 
     fingerprint: str
@@ -60,6 +63,7 @@
     engine_run: str
     age_ms: int
     was_running: bool = False
+    is_silence: bool = False
 
 
 @frozen
@@ -248,6 +252,22 @@
     engines: list[EngineSpeed] = field(factory=list)
 
 
+@frozen
+class RunDismissed:
+    """A run of an engine that counted as ended by its silence and has gone on."""
+
+    engine: str
+    engine_run: str
+    age_ms: int
+
+
+@message(90)
+class DismissalDigest:
+    """Runs that have gone on, of which the receiver wasn't told on this link yet."""
+
+    runs: list[RunDismissed] = field(factory=list)
+
+
 @message(77)
 class FleetList:
     """The gateways that the sender reports as running; replaces its previous list."""
--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -7,17 +7,20 @@
 attempts that it hasn't outlived become crash suspects.
 
 How an engine turns out to have ended is decided elsewhere; this module needs neither
-a second request nor a peer for it.
+a second request nor a peer for it. An end whose only evidence was silence is taken back
+when a response goes on whose request was sent before the silence was checked: the check
+asked the same run, since no later one could send that response.
 """
 
 import math
-from itertools import chain
+from itertools import chain, count
 
 from attrs import define, field, frozen
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.routing.crash_history import SAME_CRASH_SECONDS, Crash
 from dotterelpitch.routing.crash_suspects import CrashSuspects
+from dotterelpitch.routing.dismissed_runs import Dismissal
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.part_suspects import PartSuspects
 
@@ -31,6 +34,10 @@
 # Bytes of other responses, sent before a crash, may be read this long after the
 # connection of a request was found broken.
 READ_ORDER_SECONDS = 0.05
+# Separates the start time of a run from how often the run has been dismissed.
+DISMISSAL_SEPARATOR = "."
+# A check has waited this long when it finds an engine silent.
+SILENT_CHECK_SECONDS = 1.0
 # An engine that has been sending a response for this long has survived its start.
 START_SECONDS = 1.0
 
@@ -68,11 +75,15 @@
 
 @frozen
 class _RunEnd:
-    """The end of an engine's run: its name in crash reports, and when it ended."""
+    """The end of an engine's run: its name in crash reports, and when it ended.
+
+    ``is_shared`` is whether other VMs give the run the same name.
+    """
 
     run_id: str
     name: str
     at: float
+    is_shared: bool
 
 
 @define
@@ -192,17 +203,35 @@
         attempts = self._open_attempts(engine_id)
         return any(a.is_broken and a.ended_at > since for a in attempts)
 
-    def engine_ended(self, engine: Engine) -> list[Crash]:
+    def response_continued(self, attempt: UnansweredAttempt) -> list[Dismissal]:
+        """Record bytes of a response; return the runs that turn out to have gone on.
+
+        They are those of its engine that were taken to have ended, since a check that
+        was made after the request was sent met nothing but silence.
+        """
+        now = self._clock.wall()
+        sent_at = now - (self._clock.monotonic() - attempt.sent_at)
+        runs = self._suspects.runs_silent_after(
+            attempt.engine.id, sent_at + SILENT_CHECK_SECONDS
+        )
+        return self._suspects.dismissed_runs.merge(
+            Dismissal(run_key, now) for run_key in sorted(runs)
+        )
+
+    def engine_ended(self, engine: Engine, is_silence: bool = False) -> list[Crash]:
         """Record that an engine has ended without notice; return the new crashes.
 
-        An engine that gave a sign of life just now refuses single connections only,
-        and what is in flight there goes on.
+        ``is_silence`` is whether only its silence shows that. An engine that gave a
+        sign of life just now refuses single connections only, and what is in flight
+        there goes on.
         """
         latest = self._clock.monotonic() - SILENCE_SECONDS
         is_silent = not self.has_outlived(engine.id, latest)
         attempts = self._open_attempts(engine.id)
         return self._record_crash(
-            engine, [a for a in attempts if is_silent or a.ended_at is not None]
+            engine,
+            [a for a in attempts if is_silent or a.ended_at is not None],
+            is_silence,
         )
 
     def engine_restarted(self, previous: Engine) -> list[Crash]:
@@ -280,7 +309,10 @@
         return not self.has_outlived(attempt.engine.id, attempt.ended_at)
 
     def _record_crash(
-        self, engine: Engine, attempts: list[UnansweredAttempt]
+        self,
+        engine: Engine,
+        attempts: list[UnansweredAttempt],
+        is_silence: bool = False,
     ) -> list[Crash]:
         now = self._clock.monotonic()
         for attempt in attempts:
@@ -297,6 +329,7 @@
                 run,
                 wall_offset_s + (attempt.ended_at or now),
                 attempt.was_running,
+                is_silence,
             )
             for attempt in attempts
         ]
@@ -327,7 +360,11 @@
         starting = [a.parts for a in attempts if not a.was_running]
         running = [a.parts for a in attempts if a.was_running]
         self._part_suspects.engine_crashed(
-            crash.engine, crash.engine_run, crash.at, chain.from_iterable(starting)
+            crash.engine,
+            crash.engine_run,
+            crash.at,
+            chain.from_iterable(starting),
+            crash.is_silence,
         )
         self._part_suspects.record_sound(chain.from_iterable(running))
         self._record_running_parts()
@@ -339,13 +376,16 @@
         a run with that start time has ended before and the engine was heard since.
         """
         last = self._last_end_by_engine.get(engine.id)
-        is_first = last is None or last.run_id != engine.run_id
+        is_first = (
+            last is None
+            or last.run_id != engine.run_id
+            or (last.is_shared and self._is_dismissed(engine, last.name))
+        )
         if not is_first and not self._has_run_again(engine, last):
             return last.name
-        name = str(engine.started_ms)
-        if not (is_first and engine.started_ms):
-            name = self._unnamed_run()
-        end = _RunEnd(engine.run_id, name, self._clock.monotonic())
+        is_shared = is_first and engine.started_ms > 0
+        name = self._shared_name(engine) if is_shared else self._unnamed_run()
+        end = _RunEnd(engine.run_id, name, self._clock.monotonic(), is_shared)
         self._last_end_by_engine[engine.id] = end
         return name
 
@@ -356,6 +396,25 @@
         elapsed_s = self._clock.monotonic() - last.at
         return not engine.started_ms and elapsed_s >= SAME_CRASH_SECONDS
 
+    def _shared_name(self, engine: Engine) -> str:
+        """Return the name of a run whose start is known; a new one once dismissed."""
+        names = (_name_after_dismissals(engine, number) for number in count())
+        return next(name for name in names if not self._is_dismissed(engine, name))
+
+    def _is_dismissed(self, engine: Engine, name: str) -> bool:
+        return (engine.id, name) in self._suspects.dismissed_runs
+
     def _unnamed_run(self) -> str:
         self._unnamed_run_count += 1
         return f"{self._vm}-{self._unnamed_run_count}"
+
+
+def is_run_of(name: str, engine: Engine) -> bool:
+    """Return whether a name in crash reports is that of an engine's listed run."""
+    return name.partition(DISMISSAL_SEPARATOR)[0] == str(engine.started_ms)
+
+
+def _name_after_dismissals(engine: Engine, dismissals: int) -> str:
+    """Return the name of a run that was dismissed so often before."""
+    suffix = f"{DISMISSAL_SEPARATOR}{dismissals}" if dismissals else ""
+    return f"{engine.started_ms}{suffix}"
--- a/dotterelpitch/routing/crash_history.py
+++ b/dotterelpitch/routing/crash_history.py
@@ -1,5 +1,7 @@
 """Crashes and what was in flight in them, replicated between the VMs of a fleet.
 
+A crash whose only evidence is silence is dismissed once its engine's run has gone on.
+
 A *suspect* is named by a string: the fingerprint of a request's content, or a prompt
 part. Which suspects are banned is decided by the subclasses of ``CrashHistory``.
 """
@@ -8,9 +10,10 @@
 from collections.abc import Iterable
 from itertools import islice
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from dotterelpitch.clock import Clock
+from dotterelpitch.routing.dismissed_runs import DismissedRuns, RunKey
 
 # Crashes and clearances count for this long.
 SUSPICION_SECONDS = 3600.0
@@ -25,8 +28,6 @@
 # end of an engine without a known start time is of another run.
 SAME_CRASH_SECONDS = 1.5
 
-RunKey = tuple[str, str]
-
 
 @frozen
 class Crash:
@@ -35,7 +36,8 @@
     ``engine_run`` distinguishes the crashes of one engine: the gateway uses the
     engine's start time, the router its VM and the time of the crash. ``at`` is in
     Unix seconds. ``was_running`` is whether the engine had been sending the response
-    for a while, so that the request's start didn't crash it.
+    for a while, so that the request's start didn't crash it. ``is_silence`` is whether
+    nothing but the engine's silence shows that it has ended.
     """
 
     suspect: str
@@ -43,6 +45,7 @@
     engine_run: str
     at: float
     was_running: bool = False
+    is_silence: bool = False
 
     @property
     def run_key(self) -> RunKey:
@@ -65,36 +68,32 @@
     crash_by_run: dict[RunKey, Crash] = field(factory=dict)
     cleared_at: float = float("-inf")
 
-    def crashes(self, oldest: float) -> list[Crash]:
-        """Return the crashes after ``oldest`` and the last clearance."""
-        start = max(oldest, self.cleared_at)
-        return [crash for crash in self.crash_by_run.values() if crash.at > start]
-
-    def counts(self, run_key: RunKey, oldest: float) -> bool:
-        """Return whether a crash was after ``oldest`` and the last clearance."""
-        return self.crash_by_run[run_key].at > max(oldest, self.cleared_at)
-
 
 class CrashHistory:
     """The crash records of suspects.
 
     Merging is idempotent and independent of the order of messages, so any gossip
     protocol can replicate it. ``max_crashes`` is how many crashes may ban a suspect.
+    ``dismissed_runs`` are the runs of engines that have gone on after a silence.
 
     >>> from dotterelpitch.clock import ManualClock
     >>> clock = ManualClock()
-    >>> history = CrashHistory(clock, max_crashes=3)
+    >>> history = CrashHistory(clock, 3, DismissedRuns(clock))
     >>> history.merge([Crash("a", "e1", "run-1", clock.wall())], [])
     >>> history.crashed_engines("a")
     ['e1']
     """
 
-    def __init__(self, clock: Clock, max_crashes: int) -> None:
+    def __init__(
+        self, clock: Clock, max_crashes: int, dismissed_runs: DismissedRuns
+    ) -> None:
+        self.dismissed_runs = dismissed_runs
         self._clock = clock
         self._max_crashes = max_crashes
         self._record_by_suspect: OrderedDict[str, SuspectRecord] = OrderedDict()
         self._suspects_by_run: dict[RunKey, set[str]] = {}
         self._runs_by_engine: dict[str, set[RunKey]] = {}
+        self._silent_until_by_run: dict[RunKey, float] = {}
         self._recent_updates: deque[Crash | Clearance] = deque(
             maxlen=MAX_RECENT_UPDATES
         )
@@ -125,23 +124,44 @@
             suspect
             for run_key in self._runs_by_engine.get(engine, ())
             for suspect in self._suspects_by_run[run_key]
-            if self._record_by_suspect[suspect].counts(run_key, oldest)
-            and self._crash_at(suspect, run_key) < at + SAME_CRASH_SECONDS
+            if self._counts(suspect, run_key, oldest)
+            and self._crash(suspect, run_key).at < at + SAME_CRASH_SECONDS
         }
 
     def last_crash_at(self, engine: str) -> float:
         """Return when an engine last crashed, or minus infinity."""
-        return max(
-            (
-                self._crash_at(suspect, run_key)
-                for run_key in self._runs_by_engine.get(engine, ())
-                for suspect in self._suspects_by_run[run_key]
-            ),
-            default=float("-inf"),
+        crashes = (
+            self._crash(suspect, run_key)
+            for run_key in self._runs_by_engine.get(engine, ())
+            for suspect in self._suspects_by_run[run_key]
         )
+        counted = (crash.at for crash in crashes if not self._is_dismissed(crash))
+        return max(counted, default=float("-inf"))
 
-    def _crash_at(self, suspect: str, run_key: RunKey) -> float:
-        return self._record_by_suspect[suspect].crash_by_run[run_key].at
+    def runs_silent_after(self, engine: str, at: float) -> set[RunKey]:
+        """Return the runs of an engine that counted as ended by silence after a time.
+
+        Those that have been dismissed are left out.
+        """
+        return {
+            run_key
+            for run_key in self._runs_by_engine.get(engine, ())
+            if self._silent_until_by_run.get(run_key, float("-inf")) > at
+            and run_key not in self.dismissed_runs
+        }
+
+    def _crash(self, suspect: str, run_key: RunKey) -> Crash:
+        return self._record_by_suspect[suspect].crash_by_run[run_key]
+
+    def _is_dismissed(self, crash: Crash) -> bool:
+        return crash.is_silence and crash.run_key in self.dismissed_runs
+
+    def _counts(self, suspect: str, run_key: RunKey, oldest: float) -> bool:
+        """Return whether a crash counts, if it was after ``oldest``."""
+        record = self._record_by_suspect[suspect]
+        crash = record.crash_by_run[run_key]
+        is_current = crash.at > max(oldest, record.cleared_at)
+        return is_current and not self._is_dismissed(crash)
 
     def merge(self, crashes: Iterable[Crash], cleared: Iterable[Clearance]) -> None:
         """Add the crashes and clearances that a peer has sent."""
@@ -186,17 +206,25 @@
         return list(islice(crashes, MAX_RECENT_UPDATES))
 
     def _crashes(self, record: SuspectRecord) -> list[Crash]:
-        return record.crashes(self._clock.wall() - SUSPICION_SECONDS)
+        oldest = self._clock.wall() - SUSPICION_SECONDS
+        start = max(oldest, record.cleared_at)
+        return [
+            crash
+            for crash in record.crash_by_run.values()
+            if crash.at > start and not self._is_dismissed(crash)
+        ]
 
     def _merge_crash(self, crash: Crash) -> None:
         record = self._get_or_create(crash.suspect)
         known = record.crash_by_run.get(crash.run_key)
-        if known is None:
+        if known is None or (known.is_silence and not crash.is_silence):
             self._add_update(crash)
-        if known is None or crash.at < known.at:
-            record.crash_by_run[crash.run_key] = crash
+        record.crash_by_run[crash.run_key] = _joined(known, crash)
         self._suspects_by_run.setdefault(crash.run_key, set()).add(crash.suspect)
         self._runs_by_engine.setdefault(crash.engine, set()).add(crash.run_key)
+        if crash.is_silence:
+            until = self._silent_until_by_run.get(crash.run_key, crash.at)
+            self._silent_until_by_run[crash.run_key] = max(until, crash.at)
 
     def _merge_clearance(self, clearance: Clearance) -> None:
         record = self._get_or_create(clearance.suspect)
@@ -243,7 +271,19 @@
         if suspects:
             return
         del self._suspects_by_run[run_key]
+        self._silent_until_by_run.pop(run_key, None)
         engine, _ = run_key
         self._runs_by_engine[engine].discard(run_key)
         if not self._runs_by_engine[engine]:
             del self._runs_by_engine[engine]
+
+
+def _joined(known: Crash | None, crash: Crash) -> Crash:
+    """Return what two reports of one crash say together.
+
+    The earlier one counts, and silence is the only evidence if it is that of both.
+    """
+    if known is None:
+        return crash
+    earlier = crash if crash.at < known.at else known
+    return evolve(earlier, is_silence=known.is_silence and crash.is_silence)
--- a/dotterelpitch/routing/crash_suspects.py
+++ b/dotterelpitch/routing/crash_suspects.py
@@ -18,6 +18,7 @@
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.routing.crash_history import Clearance, Crash, CrashHistory
+from dotterelpitch.routing.dismissed_runs import DismissedRuns
 
 MAX_CRASHES = 2
 # Reports of one crash differ by less than this in time. A request that was lost
@@ -62,7 +63,7 @@
         max_crashes: int = MAX_CRASHES,
         report_delay_s: float = 0.0,
     ) -> None:
-        super().__init__(clock, max_crashes)
+        super().__init__(clock, max_crashes, DismissedRuns(clock))
         self._report_delay_s = report_delay_s
 
     def verdict(
@@ -122,7 +123,9 @@
             record = self._record_by_suspect[suspect]
             count = len(self._crashes(record))
             other = record.crash_by_run[crash.run_key]
-            if count and _is_likelier(other, count, crash, crash_count):
+            if self._is_dismissed(other) or not count:
+                continue
+            if _is_likelier(other, count, crash, crash_count):
                 return True
         return False
 
--- a/dotterelpitch/routing/part_suspects.py
+++ b/dotterelpitch/routing/part_suspects.py
@@ -74,13 +74,13 @@
     def __init__(
         self, clock: Clock, contents: CrashSuspects, report_delay_s: float = 0.0
     ) -> None:
-        super().__init__(clock, MIN_CRASHES)
+        super().__init__(clock, MIN_CRASHES, contents.dismissed_runs)
         self._contents = contents
         self._report_delay_s = report_delay_s
         self._sound_at_by_part: OrderedDict[str, float] = OrderedDict()
         self._last_trial_at_by_part: dict[str, float] = {}
         self._judgement = Judgement()
-        self._judged_version = (0, 0)
+        self._judged_version = (0, 0, 0)
         self._next_judgement_at = float("-inf")
 
     @property
@@ -89,10 +89,19 @@
         return not self._suspects_by_run
 
     def engine_crashed(
-        self, engine: str, engine_run: str, at: float, parts: Iterable[str]
+        self,
+        engine: str,
+        engine_run: str,
+        at: float,
+        parts: Iterable[str],
+        is_silence: bool = False,
     ) -> None:
         """Record a crash with the parts of the requests that were just starting."""
-        self.merge([Crash(p, engine, engine_run, at) for p in sorted(set(parts))], [])
+        crashes = [
+            Crash(part, engine, engine_run, at, is_silence=is_silence)
+            for part in sorted(set(parts))
+        ]
+        self.merge(crashes, [])
 
     def record_sound(self, parts: Iterable[str]) -> None:
         """Record that an engine has responded to requests with these parts."""
@@ -185,7 +194,11 @@
     def _judge(self) -> Judgement:
         """Return the current judgement; a costly one is kept for longer."""
         now = self._clock.monotonic()
-        version = self._update_count, self._contents.update_count
+        version = (
+            self._update_count,
+            self._contents.update_count,
+            self.dismissed_runs.update_count,
+        )
         age_s = now - self._next_judgement_at
         is_current = version == self._judged_version
         if age_s < 0 or (is_current and age_s < MAX_JUDGEMENT_AGE_SECONDS):
--- a/tests/harness/simulated_gateways.py
+++ b/tests/harness/simulated_gateways.py
@@ -9,6 +9,7 @@
 
 from dotterelpitch.clock import ManualClock
 from dotterelpitch.gateway.digest_exchange import DigestExchange
+from dotterelpitch.gateway.dismissal_exchange import DismissalExchange
 from dotterelpitch.gateway.engine_speed_exchange import EngineSpeedExchange
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.leaving_engine_exchange import LeavingEngineExchange
@@ -76,6 +77,7 @@
         self.speeds = EngineSpeeds(self.clock)
         self.exchanges = [
             LeavingEngineExchange(self.state),
+            DismissalExchange(self.clock, self.engine_tracker),
             self.rate_limit_exchange,
             EngineSpeedExchange(
                 self.clock, self.topology, self.speeds, self.links.count
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -8,6 +8,7 @@
     READ_ORDER_SECONDS,
     SILENCE_OBJECTIVE_FRACTION,
     SILENCE_SECONDS,
+    SILENT_CHECK_SECONDS,
     START_SECONDS,
     CrashDetector,
 )
@@ -262,3 +263,80 @@
     detector.attempt_sent(engine("e1"), "long", objective_s=objective_s)
     clock.advance(after_s)
     assert bool(detector.silent_engines()) == is_silent
+
+
+def fall_silent(detector, clock, ended):
+    """Let a silent engine with a response in progress count as ended; return both."""
+    beside = detector.attempt_sent(ended, "beside")
+    clock.advance(SILENCE_SECONDS)
+    lose(detector, ended.id, "lost")
+    clock.advance(SILENT_CHECK_SECONDS)
+    detector.engine_ended(ended, is_silence=True)
+    return beside
+
+
+# Guards against: what sound engines ran while they were silent is banned for an hour.
+@pytest.mark.parametrize("started_ms", [0, 1])
+def test_silent_engine_whose_response_goes_on_has_not_crashed(
+    detector, suspects, clock, started_ms
+):
+    for engine_id in ("e1", "e2"):
+        attempt = fall_silent(detector, clock, engine(engine_id, started_ms))
+        clock.advance(1.0)
+        assert detector.response_continued(attempt)
+        assert not detector.response_continued(attempt)
+    assert suspects.verdict("beside") is FREE
+    assert suspects.verdict("lost") is FREE
+
+
+# Guards against: a run that has ended is taken for the one that responds now.
+@pytest.mark.parametrize(
+    ("is_silence", "sent_before_check"), [(False, True), (True, False)]
+)
+def test_end_stays_unless_only_silence_shows_it_and_the_same_run_responds(
+    detector, suspects, clock, is_silence, sent_before_check
+):
+    lose(detector, "e1", "bad")
+    if not sent_before_check:
+        clock.advance(SILENT_CHECK_SECONDS / 2)
+    attempt = detector.attempt_sent(engine("e1"), "bad")
+    clock.advance(SILENT_CHECK_SECONDS + (0.1 if sent_before_check else -0.1))
+    detector.engine_ended(engine("e1"), is_silence)
+    clock.advance(1.0)
+    assert not detector.response_continued(attempt)
+    assert suspects.verdict("bad") is ALONE
+
+
+# Guards against: an engine that has been silent once may be crashed unseen.
+@pytest.mark.parametrize("is_silence", [False, True])
+@pytest.mark.parametrize("started_ms", [0, 1])
+def test_later_end_of_a_run_that_was_silent_before_counts(
+    detector, suspects, clock, started_ms, is_silence
+):
+    for _ in range(2):
+        attempt = fall_silent(detector, clock, engine("e1", started_ms))
+        clock.advance(1.0)
+        detector.heard_from("e1")
+        detector.response_continued(attempt)
+        detector.attempt_answered(attempt)
+    clock.advance(1.0)
+    lose(detector, "e1", "bad")
+    clock.advance(1.0)
+    assert detector.engine_ended(engine("e1", started_ms), is_silence)
+    assert suspects.verdict("bad") is ALONE
+    assert suspects.verdict("beside") is FREE
+
+
+# Guards against: one crash counts twice since two VMs name a run differently.
+def test_vms_name_a_run_alike_after_its_silence(detector, suspects, clock):
+    attempt = fall_silent(detector, clock, engine("e1"))
+    clock.advance(1.0)
+    [dismissal] = detector.response_continued(attempt)
+    others = CrashSuspects(clock)
+    others.dismissed_runs.merge([dismissal])
+    other = CrashDetector("vm2", clock, others, PartSuspects(clock, others))
+    names = set()
+    for at_vm in (detector, other):
+        lose(at_vm, "e1", "bad")
+        names |= {c.engine_run for c in at_vm.engine_ended(engine("e1"))}
+    assert len(names) == 1
--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -7,6 +7,7 @@
 from dotterelpitch.routing.crash_history import MAX_RECENT_UPDATES
 from dotterelpitch.routing.crash_suspects import CrashVerdict
 from dotterelpitch.routing.engines import Engine
+from dotterelpitch.routing.health import FailureKind
 from tests.harness.crash_drill.drill import (
     MAX_CRASHES_BEFORE_STOP,
     MAX_LATE_ARRIVALS,
@@ -115,6 +116,11 @@
         return detector.attempt_sent(engine, content, ("shared", "bad"))
 
 
+def verdicts(fleet):
+    """Return the verdicts of all VMs on the sound request."""
+    return {g.suspects.verdict("sound") for g in fleet.alive.values()}
+
+
 # Guards against: the ban reaches a VM of a large fleet late, or not after its restart.
 @pytest.mark.parametrize("chain_type", [CrashChain, PartCrashChain])
 @pytest.mark.parametrize("vms", [4, 9, 60, 100])
@@ -166,6 +172,28 @@
     assert len(chain.late_arrivals()) <= MAX_LATE_ARRIVALS
 
 
+# Guards against: VMs refuse what sound engines ran while they were silent.
+@pytest.mark.parametrize("vms", [4, 60])
+def test_request_is_free_at_every_vm_once_its_silent_engines_have_gone_on(vms):
+    fleet = make_fleet(vms)
+    fleet.run(5.0)
+    trackers = [g.engine_tracker for g in fleet.gateway_by_address.values()][:3]
+    attempts = []
+    for number, tracker in enumerate(trackers):
+        engine = Engine(f"e{number}", "calls", "10.1.0.1:1", "a")
+        attempts.append(tracker.crash_detector.attempt_sent(engine, "sound"))
+    fleet.run(SILENT_SECONDS)
+    for tracker, attempt in zip(trackers, attempts, strict=True):
+        tracker.record_engine_end(attempt.engine, FailureKind.UNREACHABLE, "silent")
+    fleet.run(5.0)
+    assert verdicts(fleet) == {CrashVerdict.BANNED}
+    for tracker, attempt in zip(trackers, attempts, strict=True):
+        tracker.response_continued(attempt)
+    fleet.restart(list(fleet.gateway_by_address)[-1])
+    fleet.run(5.0)
+    assert verdicts(fleet) == {CrashVerdict.FREE}
+
+
 # Guards against: later crashes push a ban out of what a restarted VM is sent.
 def test_new_peer_gets_bans_before_other_crashes():
     fleet = make_fleet(4)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -1,12 +1,22 @@
 """Which requests are banned, by the crashes that they were in flight in."""
 
+from itertools import permutations
+
 import pytest
 
 from dotterelpitch.clock import ManualClock
 from dotterelpitch.routing.crash_history import MAX_RECENT_UPDATES, MAX_SUSPECTS, Crash
 from dotterelpitch.routing.crash_suspects import CrashSuspects, CrashVerdict
+from dotterelpitch.routing.dismissed_runs import (
+    DISMISSAL_SECONDS,
+    MAX_DISMISSALS,
+    MAX_RECENT_DISMISSALS,
+    Dismissal,
+    DismissedRuns,
+)
 
-ALONE, BANNED = CrashVerdict.ALONE, CrashVerdict.BANNED
+FREE, ALONE, BANNED = CrashVerdict.FREE, CrashVerdict.ALONE, CrashVerdict.BANNED
+RUN = ("e1", "1")
 
 
 @pytest.fixture
@@ -110,3 +120,60 @@
         names = [f"{n}-{m}" for m in range(MAX_SUSPECTS)]
         suspects.engine_died(f"f{n}", "1", names)
     assert suspects.verdict("bad") is CrashVerdict.BANNED
+
+
+# Guards against: the verdict on a silent engine depends on which peer reports first.
+@pytest.mark.parametrize(
+    ("evidence", "verdict"), [("silence", FREE), ("silence and refusal", ALONE)]
+)
+def test_dismissal_takes_back_a_silence_in_any_order(clock, evidence, verdict):
+    now = clock.wall()
+    silence = Crash("bad", *RUN, now - 3.0, is_silence=True)
+    refusal = Crash("bad", *RUN, now - 1.0)
+    dismissal = Dismissal(RUN, now - 2.0)
+    reports = [silence, dismissal] + [refusal] * ("refusal" in evidence)
+    for order in permutations(reports):
+        suspects = CrashSuspects(clock)
+        for report in [*order, *order]:
+            if isinstance(report, Dismissal):
+                suspects.dismissed_runs.merge([report])
+            else:
+                suspects.merge([report], [])
+        assert suspects.verdict("bad") is verdict
+
+
+# Guards against: a request that engines have survived explains the crashes of another.
+def test_dismissed_silence_explains_no_crash(clock):
+    suspects = CrashSuspects(clock, max_crashes=3)
+    for n in range(3):
+        suspects.engine_died(f"e{n}", "1", ["bad"])
+        silence = Crash("sound", f"e{n}", "1", clock.wall(), is_silence=True)
+        suspects.merge([silence], [])
+        suspects.dismissed_runs.merge([Dismissal((f"e{n}", "1"), clock.wall())])
+    for n in range(4):
+        suspects.engine_died(f"f{n}", "1", ["sound"])
+    assert suspects.verdict("bad") is BANNED
+
+
+# Guards against: peers that were told of a silence never learn of the refusal.
+def test_certain_end_is_told_after_a_silence(clock):
+    suspects = CrashSuspects(clock)
+    suspects.merge([Crash("bad", *RUN, clock.wall(), is_silence=True)], [])
+    told, _, _ = suspects.updates_after(0)
+    suspects.merge([Crash("bad", *RUN, clock.wall())], [])
+    _, [crash], _ = suspects.updates_after(told)
+    assert not crash.is_silence
+
+
+def test_dismissals_are_bounded_and_expire(clock):
+    runs = DismissedRuns(clock)
+    runs.merge(
+        Dismissal((f"e{n}", "1"), clock.wall()) for n in range(MAX_DISMISSALS + 5)
+    )
+    told, recent = runs.updates_after(0)
+    assert len(recent) == MAX_RECENT_DISMISSALS
+    assert runs.updates_after(told) == (told, [])
+    assert ("e0", "1") not in runs
+    assert ("e5", "1") in runs
+    clock.advance(DISMISSAL_SECONDS)
+    assert ("e5", "1") not in runs
--- a/tests/test_dismissed_crashes.py
+++ b/tests/test_dismissed_crashes.py
@@ -5,6 +5,13 @@
 
 import pytest
 
+from dotterelpitch.clock import ManualClock
+from dotterelpitch.gateway.attempt_result import AttemptResult
+from dotterelpitch.gateway.engine_tracker import EngineTracker
+from dotterelpitch.routing.attempt_outcomes import AttemptOutcome
+from dotterelpitch.routing.dismissed_runs import Dismissal
+from dotterelpitch.routing.engine_choice import ChoiceReason, EngineChoice
+from dotterelpitch.routing.engines import Engine
 from tests.harness.gateway_fleet import (
     ROUTES,
     GatewayFleet,
@@ -108,3 +115,19 @@
     with contextlib.suppress(TimeoutError):
         await send_raw(gateway.caller_address, request, 0.5)
     return bool(gateway.process.events(409))
+
+
+# Guards against: an engine that was only silent is taken for cold, as if restarted.
+@pytest.mark.parametrize("is_dismissed", [False, True])
+def test_engine_returns_from_an_end_unless_that_is_dismissed(is_dismissed):
+    clock = ManualClock(10.0)
+    tracker = EngineTracker(clock, "vm1", "a")
+    returned = []
+    tracker.on_return = returned.append
+    engine = Engine("e1", "calls", "10.0.0.1:1", "a", started_ms=1)
+    tracker.record_peer_report(engine, clock.monotonic())
+    if is_dismissed:
+        tracker.record_dismissals([Dismissal(("e1", "1"), clock.wall())], "vm2")
+    choice = EngineChoice(engine, ChoiceReason.LEAST_LOADED, 0, 0.0)
+    tracker.record_attempt(None, choice, AttemptResult(AttemptOutcome.REJECTED))
+    assert bool(returned) is not is_dismissed
--- a/tests/test_part_suspects.py
+++ b/tests/test_part_suspects.py
@@ -329,6 +329,20 @@
         assert peer.banned_parts(["shared", "bad"]) == ["bad"]
 
 
+# Guards against: a part is banned since engines were silent and then went on.
+@pytest.mark.parametrize("goes_on", [False, True])
+def test_part_of_requests_at_silent_engines_is_not_banned_once_they_go_on(vm, goes_on):
+    for number in range(MIN_CRASHES):
+        engine = Engine(f"e{number}", "chat", "10.0.0.1:1", "a", started_ms=1)
+        attempt = vm.detector.attempt_sent(engine, f"call {number}", ("shared",))
+        vm.clock.advance(1.5)
+        vm.detector.engine_ended(engine, is_silence=True)
+        vm.wait_for_reports()
+        if goes_on:
+            vm.detector.response_continued(attempt)
+    assert vm.is_banned("shared") is not goes_on
+
+
 # Guards against: requests wait while the parts of a large failure are judged.
 def test_many_crashes_of_long_prompts_are_judged_quickly(vm):
     for n in range(60):
