Drill: sound engines fall silent while VMs stop and configs change

Real gateways, engines that write 25 events of a stream in 2 s and, on command, nothing for 1.0 to 2.5 s (with or without status checks, each for its own time), and 24 callers: half on kept connections, half of each with bodies in chunks, streams that may go on or not, and plain calls. Checked is only what doesn't depend on speed: no stream ends early that isn't at its deadline or in the last sixth of a grace, no request that has run stays without an answer, and no event is missing.

--- a/tests/harness/crash_drill/engine.py
+++ b/tests/harness/crash_drill/engine.py
@@ -176,6 +176,7 @@
         head = await reader.readuntil(b"\r\n\r\n")
         headers = _parse_headers(head)
         body = await reader.readexactly(int(headers.get("content-length", 0)))
+        await self.before_response(head)
         if self.has_ended(run):
             await run_over.wait()
             return False
@@ -207,6 +208,9 @@
             return False
         return True
 
+    async def before_response(self, head: bytes) -> None:
+        """Wait until the request with this head may be responded to."""
+
     def health_response(self) -> bytes:
         """Return the response to a status check."""
         return (
