Go on with a stream elsewhere if the next engine rejects it

What callers saw: 200, some events of a stream, and a close, as their silent engine was left for one that rejected the stream.

Cause: a rejected attempt counted against the route's max_attempts, so with two of them nothing followed; and the engine that had been left, which goes on, was no candidate any more. All VMs leave their silent engines at the same moment, so none knows the others' moves.

Now up to three rejected attempts of a stream of which the caller has events don't count against max_attempts, as they haven't run; each still costs retry budget. Engines that were left for their silence can be tried again once no other is left.

What remains: a stream is left for a peer whose engines all reject it, the silent ones since they are full too.

--- a/dotterelpitch/gateway/call_progress.py
+++ b/dotterelpitch/gateway/call_progress.py
@@ -13,9 +13,11 @@
 
     ``tried_ids`` are the engines of all attempts. ``failed_ids`` are those that
     answered with an error, and ``failed_result`` is the last such answer.
+    ``left_ids`` are those that were left because they were silent.
     ``unreachable_domains`` are failure domains in which an engine was unreachable.
     ``sent_count`` and ``unsent_count`` count the attempts whose request was and was
-    not sent. ``may_have_run`` is whether an engine may have run the request.
+    not sent; ``rejected_count`` are those of the former that were rejected.
+    ``may_have_run`` is whether an engine may have run the request.
     ``version`` is the engine version that has begun the stream, or None before that.
     ``may_use_peers`` is whether the call may be forwarded to a peer; ``asked_vms`` are
     the peers that it was offered to. ``no_retry_reason`` is why no attempt follows the
@@ -27,10 +29,12 @@
     events: EventStreamFilter
     tried_ids: list[str] = field(factory=list)
     failed_ids: list[str] = field(factory=list)
+    left_ids: list[str] = field(factory=list)
     unreachable_domains: set[str] = field(factory=set)
     failed_result: AttemptResult | None = None
     sent_count: int = 0
     unsent_count: int = 0
+    rejected_count: int = 0
     may_have_run: bool = False
     version: str | None = None
     may_use_peers: bool = True
@@ -41,6 +45,11 @@
     is_retry_reserved: bool = False
     next_choice: EngineChoice | None = None
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the caller has events of the stream, also from earlier requests."""
+        return bool(self.events.last_id)
+
     def take_next_choice(self) -> EngineChoice | None:
         """Return the engine that was chosen for the next attempt, once."""
         choice, self.next_choice = self.next_choice, None
--- a/dotterelpitch/gateway/call_rules.py
+++ b/dotterelpitch/gateway/call_rules.py
@@ -31,6 +31,9 @@
 # A failed connect costs only a few milliseconds, so attempts that end before sending
 # have a limit of their own instead of the route's.
 MAX_UNSENT_ATTEMPTS = 4
+# So many attempts at a stream that has begun may be rejected without counting against
+# the route's limit: they haven't run, and the caller loses what it has.
+MAX_REJECTED_STREAM_ATTEMPTS = 3
 
 
 class CallRule(ABC):
@@ -196,7 +199,7 @@
     def forbids(self, call: Call, progress: CallProgress) -> bool:
         if not RETRY_RULE_BY_OUTCOME[progress.last_result.outcome].costs_budget:
             return False
-        if progress.sent_count >= call.route.max_attempts:
+        if _counted_attempts(progress) >= call.route.max_attempts:
             return True
         if self._retry_budget.try_spend(call.service):
             return False
@@ -259,5 +262,13 @@
         return _first_reason(self.retry, call, progress)
 
 
+def _counted_attempts(progress: CallProgress) -> int:
+    """Return how many attempts count against the limit of the route."""
+    if not progress.has_events:
+        return progress.sent_count
+    uncounted = min(progress.rejected_count, MAX_REJECTED_STREAM_ATTEMPTS)
+    return progress.sent_count - uncounted
+
+
 def _first_reason(rules: Sequence[CallRule], call: Call, progress: CallProgress) -> str:
     return next((rule.reason for rule in rules if rule.forbids(call, progress)), "")
--- a/dotterelpitch/gateway/engine_selection.py
+++ b/dotterelpitch/gateway/engine_selection.py
@@ -37,14 +37,16 @@
         )
 
     def select(self, call: Call, progress: CallProgress) -> EngineChoice | None:
-        """Return an untried engine, else one that answered with an error, else None.
+        """Return an untried engine, else one that can be tried again, else None.
 
-        An error may not recur, so that engine can be tried again; others can't.
+        An error may not recur, and an engine that was silent may go on, so those that
+        answered with an error or were left can be tried again; others can't.
         """
         choice = self.select_untried(call, progress)
-        if choice is not None or not progress.failed_ids:
+        again_ids = progress.failed_ids + progress.left_ids
+        if choice is not None or not again_ids:
             return choice
-        excluded_ids = [i for i in progress.tried_ids if i not in progress.failed_ids]
+        excluded_ids = [i for i in progress.tried_ids if i not in again_ids]
         return self._chooser.choose(
             call.service, call.shared_parts, excluded_ids, version=progress.version
         )
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -248,6 +248,10 @@
         if result.outcome is AttemptOutcome.FAILED:
             progress.failed_result = result
             progress.failed_ids.append(engine_id)
+        if progress.is_retry_reserved:
+            progress.left_ids.append(engine_id)
+        if result.outcome is AttemptOutcome.REJECTED:
+            progress.rejected_count += 1
         if result.outcome is AttemptOutcome.NOT_SENT:
             progress.unsent_count += 1
             self._rate_limits.limiter.take_back(choice.engine)
--- a/tests/test_call_rules.py
+++ b/tests/test_call_rules.py
@@ -21,6 +21,7 @@
     TimeRule,
     UnsentAttemptsRule,
 )
+from dotterelpitch.gateway.event_stream_filter import EventStreamFilter
 from dotterelpitch.routing.attempt_outcomes import AttemptOutcome
 
 CLOCK = ManualClock(100.0)
@@ -43,9 +44,10 @@
     )
 
 
-def make_progress(outcome=None, **values):
+def make_progress(outcome=None, last_id="", **values):
     result = AttemptResult(outcome) if outcome else None
-    return CallProgress(None, last_result=result, **values)
+    events = EventStreamFilter(last_id)
+    return CallProgress(events, last_result=result, **values)
 
 
 def make_tracker(is_banned=False, parts=(), is_trial_due=False):
@@ -181,6 +183,24 @@
             make_progress(LOST, sent_count=1),
             True,
         ),
+        (
+            RetryBudgetRule(Budget(9)),
+            make_call(),
+            make_progress(REJECTED, sent_count=2, rejected_count=1),
+            True,
+        ),
+        (
+            RetryBudgetRule(Budget(9)),
+            make_call(),
+            make_progress(REJECTED, sent_count=2, rejected_count=1, last_id="7"),
+            False,
+        ),
+        (
+            RetryBudgetRule(Budget(9)),
+            make_call(),
+            make_progress(REJECTED, sent_count=5, rejected_count=4, last_id="7"),
+            True,
+        ),
     ],
 )
 def test_when_a_rule_forbids_an_attempt(rule, call, progress, forbids):
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -125,6 +125,26 @@
     assert len(silent.exchanges) == 1
 
 
+# Guards against: a stream is cut since its silent engine was left for one that rejects
+# it, although the silent engine goes on.
+async def test_stream_goes_back_to_its_engine_if_the_other_rejects_it(fleet):
+    for engine in fleet.engines:
+        engine.script = [stream_with_silence(SILENCE_SECONDS)]
+        engine.behavior = reject
+    address = fleet.gateways[0].caller_address
+    request = request_bytes("/resumable/1", headers=("Deadline-Ms: 4500",))
+    calling = asyncio.create_task(send_raw(address, request))
+    await eventually(fleet.exchanges, 2.0, "the stream has begun")
+    silent, other = sorted(fleet.engines, key=lambda e: len(e.exchanges), reverse=True)
+    silent.behavior = stream_with_silence(0.0)
+    other.script = []
+    response = await calling
+    assert EVENTS[1].strip() in response
+    assert response.endswith(b"0\r\n\r\n")
+    assert response.count(EVENTS[0].strip()) == 1
+    assert len(other.exchanges) == 1
+
+
 # Guards against: a stream is cut since its silent engine is left for one that is full
 # and rejects it.
 async def test_stream_stays_at_its_silent_engine_if_the_others_are_full(fleet):
