--- a/dotterelpitch/gateway/attempt_recorder.py
+++ b/dotterelpitch/gateway/attempt_recorder.py
@@ -40,6 +40,8 @@
         if result.outcome is AttemptOutcome.FAILED:
             progress.failed_result = result
             progress.failed_ids.append(choice.engine.id)
+        if result.outcome is AttemptOutcome.REJECTED:
+            progress.rejected_count += 1
         if result.outcome is AttemptOutcome.NOT_SENT:
             progress.unsent_count += 1
             self._rate_limits.limiter.take_back(choice.engine)
--- a/dotterelpitch/gateway/forwarding.py
+++ b/dotterelpitch/gateway/forwarding.py
@@ -239,6 +239,8 @@
                 )
         finally:
             self._loads.request_ended(choice.engine.id)
+        if progress.is_retry_reserved:
+            progress.left_ids.append(choice.engine.id)
         progress.is_bound_to_attempt = False
         self._recorder.record(call, choice, progress, writer, result)
         return result
