--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -41,7 +41,7 @@
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.settings import GatewaySettings
 from dotterelpitch.gateway.settings_reload import SettingsReloader
-from dotterelpitch.gateway.shared_checks import RunCheck, SharedChecks
+from dotterelpitch.gateway.shared_checks import SharedChecks
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.store_watcher import StoreWatcher
 from dotterelpitch.gateway.stream_handover import StreamHandover
@@ -69,6 +69,7 @@
 from dotterelpitch.routing.share_holders import ShareHolders
 from dotterelpitch.routing.stream_origins import StreamOrigins
 from dotterelpitch.telemetry.events import Event, log_event
+from dotterelpitch.upstream.engine_check import RunCheck
 from dotterelpitch.upstream.pool import SWEEP_INTERVAL_SECONDS, ConnectionPool
 from dotterelpitch.vm_settings import VmSettings
 
--- a/dotterelpitch/gateway/crash_watcher.py
+++ b/dotterelpitch/gateway/crash_watcher.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from functools import partial
 
 from dotterelpitch.clock import Clock
@@ -18,13 +18,12 @@
 from dotterelpitch.routing.engines import Engine
 from dotterelpitch.routing.health import FailureKind
 from dotterelpitch.telemetry.events import Event, log_event
-from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
+from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck, RunCheck
 
 SWEEP_INTERVAL_SECONDS = 0.2
 # A slow engine that responds to checks isn't checked again sooner.
 MIN_CHECK_INTERVAL_SECONDS = 1.5
 
-RunCheck = Callable[[EngineCheck], Awaitable[CheckResult]]
 RecordStatus = Callable[[Engine, EngineStatus], None]
 
 # The results that mean that the engine's run has ended.
--- a/dotterelpitch/gateway/engine_contact_watcher.py
+++ b/dotterelpitch/gateway/engine_contact_watcher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from typing import TypeVar
 
 from dotterelpitch.clock import Clock
@@ -10,7 +10,7 @@
 from dotterelpitch.routing.crash_detector import CrashDetector
 from dotterelpitch.routing.engine_contact import ContactState, EngineContact
 from dotterelpitch.routing.engines import Engine
-from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
+from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck, RunCheck
 
 SWEEP_INTERVAL_SECONDS = 0.1
 # The interval of the checks; while contact is lost they tell when it is back.
@@ -25,7 +25,6 @@
 SILENCE_SECONDS = 0.4
 
 T = TypeVar("T")
-RunCheck = Callable[[EngineCheck], Awaitable[CheckResult]]
 
 _RESPONSES = {CheckResult.RESPONDED, CheckResult.RETURNED, CheckResult.REPLACED}
 
--- a/dotterelpitch/gateway/leaving_engine_checker.py
+++ b/dotterelpitch/gateway/leaving_engine_checker.py
@@ -1,20 +1,19 @@
 """Asks engines of which it isn't known whether they leave."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from functools import partial
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.platform.engine_status import EngineStatus
 from dotterelpitch.routing.engines import Engine, EngineRun
-from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
+from dotterelpitch.upstream.engine_check import EngineCheck, RunCheck
 
 SWEEP_INTERVAL_SECONDS = 0.1
 # An engine that didn't respond is asked again after this time.
 CHECK_INTERVAL_SECONDS = 1.5
 
-RunCheck = Callable[[EngineCheck], Awaitable[CheckResult]]
 RecordStatus = Callable[[Engine, EngineStatus], None]
 
 
--- a/dotterelpitch/gateway/shared_checks.py
+++ b/dotterelpitch/gateway/shared_checks.py
@@ -1,22 +1,19 @@
 """Runs the status checks of all who ask, each engine once at a time, within a bound."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 from attrs import define, evolve, field, frozen
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.platform.engine_status import EngineStatus
 from dotterelpitch.routing.leaky_bucket import LeakyBucket
-from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
+from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck, RunCheck
 
 # A VM starts so many checks per second, and so many at once. Beyond it, who asks learns
 # nothing.
 CHECKS_PER_SECOND = 4.0
 BURST_CHECKS = 12.0
 
-RunCheck = Callable[[EngineCheck], Awaitable[CheckResult]]
-
 
 @frozen
 class _Answer:
--- a/dotterelpitch/gateway/successor_finder.py
+++ b/dotterelpitch/gateway/successor_finder.py
@@ -19,7 +19,6 @@
 from dotterelpitch.gateway.engine_selection import EngineSelection
 from dotterelpitch.gateway.engine_tracker import EngineTracker
 from dotterelpitch.gateway.peer_forwarder import PeerForwarder
-from dotterelpitch.gateway.shared_checks import RunCheck
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.routing.attempt_outcomes import AttemptOutcome
 from dotterelpitch.routing.engine_choice import EngineChoice
@@ -27,7 +26,7 @@
 from dotterelpitch.routing.fleet_loads import FleetLoads
 from dotterelpitch.routing.fleet_rate_limits import FleetRateLimits
 from dotterelpitch.routing.route_table import CallKind
-from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck
+from dotterelpitch.upstream.engine_check import CheckResult, EngineCheck, RunCheck
 
 # An engine that has sent something within this time isn't silent.
 HEARD_SECONDS = 0.3
--- a/dotterelpitch/upstream/engine_check.py
+++ b/dotterelpitch/upstream/engine_check.py
@@ -1,7 +1,7 @@
 """Asks an engine for a sign of life, on a connection of its own."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
 
 from attrs import frozen
@@ -116,3 +116,7 @@
         request = encode_request("GET", self.health_path, headers, b"")
         connection.send(request, request_id="")
         return await connection.read_head()
+
+
+RunCheck = Callable[[EngineCheck], Awaitable[CheckResult]]
+"""Runs a check, as ``EngineCheck.run`` does."""
