--- a/dotterelpitch/routing/crash_detector.py
+++ b/dotterelpitch/routing/crash_detector.py
@@ -209,6 +209,8 @@
         They are those of its engine that were taken to have ended, since a check that
         was made after the request was sent met nothing but silence.
         """
+        if not self._suspects.has_silent_runs:
+            return []
         now = self._clock.wall()
         sent_at = now - (self._clock.monotonic() - attempt.sent_at)
         runs = self._suspects.runs_silent_after(
--- a/dotterelpitch/routing/crash_history.py
+++ b/dotterelpitch/routing/crash_history.py
@@ -138,6 +138,11 @@
         counted = (crash.at for crash in crashes if not self._is_dismissed(crash))
         return max(counted, default=float("-inf"))
 
+    @property
+    def has_silent_runs(self) -> bool:
+        """Whether silence alone shows the end of some run."""
+        return bool(self._silent_until_by_run)
+
     def runs_silent_after(self, engine: str, at: float) -> set[RunKey]:
         """Return the runs of an engine that counted as ended by silence after a time.
 
