--- a/tests/test_silence_elsewhere.py
+++ b/tests/test_silence_elsewhere.py
@@ -29,14 +29,14 @@
 )
 from tests.harness.ports import free_address
 from tests.harness.scripted_engine import EngineExchange, ScriptedEngine, answer
-from tests.harness.waiting import eventually, pause
-from tests.test_silent_engines import (
+from tests.harness.silent_streams import (
     EVENTS,
     hang,
     spend_the_retries,
     stream_with_silence,
     want_pause,
 )
+from tests.harness.waiting import eventually, pause
 
 SILENCE_SECONDS = 2.2
 BUDGET = "Deadline-Ms: 4900"
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -8,21 +8,11 @@
 from tests.harness.ports import free_address
 from tests.harness.proxy import FaultProxy
 from tests.harness.scripted_engine import EngineExchange, ScriptedEngine
+from tests.harness.silent_streams import EVENTS, stream_with_silence
 from tests.harness.waiting import pause
 
 # Longer than a stream may stall before another engine may go on with it.
 PAUSE_SECONDS = 2.0
-EVENTS = [f"id: {n}\ndata: {n}\n\n".encode() for n in (1, 2)]
-
-
-async def pause_in_stream(exchange: EngineExchange) -> None:
-    """Send two events with a long pause between."""
-    exchange.write_head("200 OK", "Transfer-Encoding: chunked")
-    exchange.write_chunk(EVENTS[0])
-    await pause(PAUSE_SECONDS)
-    if not exchange.writer.is_closing():
-        exchange.write_chunk(EVENTS[1])
-        exchange.write_chunk(b"")
 
 
 @pytest.fixture
@@ -86,7 +76,7 @@
 # Guards against: a stream is left at a slow engine that alone could go on with it.
 async def test_paused_stream_waits_for_the_only_engine_of_its_version(fleet):
     for engine, version in zip(fleet.engines, ("v1", "v2"), strict=True):
-        engine.behavior = pause_in_stream
+        engine.behavior = stream_with_silence(PAUSE_SECONDS)
         fleet.register_engine(engine, version=version)
     await pause(0.5)
     request = request_bytes("/resumable/1", headers=("Deadline-Ms: 6000",))
