--- a/dotterelpitch/gateway/reader_selection.py
+++ b/dotterelpitch/gateway/reader_selection.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Mapping
+from enum import StrEnum
 
 import xxhash
 from attrs import define, field, frozen
@@ -20,6 +21,14 @@
 MAX_STORE_AGE_SECONDS = 2.5
 
 
+class ReadReason(StrEnum):
+    """Why a gateway reads the store itself."""
+
+    NO_STATE = "no state yet"
+    NO_FRESH_REPORT = "no peer has reported a fresh state"
+    SELECTED = "selected in its failure domain"
+
+
 @frozen
 class PeerReport:
     """What a peer's last digest reported about its view of the store.
@@ -62,6 +71,10 @@
 
     def should_read_store(self) -> bool:
         """Return whether this gateway should read the store now."""
+        return self.reason_to_read() is not None
+
+    def reason_to_read(self) -> ReadReason | None:
+        """Return why this gateway should read the store now, or None."""
         now = self._clock.monotonic()
         recent = {
             vm: report
@@ -70,9 +83,9 @@
         }
         self._report_by_vm = recent
         if not self._has_fresh_report(recent, now):
-            return True
+            return ReadReason.NO_FRESH_REPORT
         if not self.is_relay:
-            return False
+            return None
         in_domain = [
             vm
             for vm, report in recent.items()
@@ -80,7 +93,8 @@
             and report.failure_domain == self._domain
             and self._is_fresh(report, now)
         ]
-        return all(_hash_rank(self._vm) >= _hash_rank(vm) for vm in in_domain)
+        is_first = all(_hash_rank(self._vm) >= _hash_rank(vm) for vm in in_domain)
+        return ReadReason.SELECTED if is_first else None
 
     def _has_fresh_report(
         self, report_by_vm: Mapping[str, PeerReport], now: float
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -267,9 +267,14 @@
             self.record_by_key.pop(EVACUATION_PREFIX + domain, None)
         self.leaving_engines.retain(e.run for e in self.directory.engine_by_id.values())
         before_by_id = dict(self.directory.engine_by_id)
-        for engine_id in self.directory.expire():
+        for engine_id, missing_s in self.directory.expire().items():
             self._forget_record(before_by_id[engine_id])
-            log_event(Event.ENGINE_MISSING, engine=engine_id, action="removed")
+            log_event(
+                Event.ENGINE_MISSING,
+                engine=engine_id,
+                action="removed",
+                missing_ms=int(missing_s * 1000),
+            )
 
     def confirm(self, position: StorePosition, age_s: float = 0.0) -> None:
         """Record that the state of ``position`` was current ``age_s`` seconds ago."""
--- a/dotterelpitch/gateway/store_watcher.py
+++ b/dotterelpitch/gateway/store_watcher.py
@@ -4,7 +4,7 @@
 import random
 
 from dotterelpitch.errors import PlatformError
-from dotterelpitch.gateway.reader_selection import ReaderSelection
+from dotterelpitch.gateway.reader_selection import ReaderSelection, ReadReason
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.platform.store import HistoryLostError, StoreClient
 from dotterelpitch.telemetry.events import Event, log_event
@@ -58,10 +58,19 @@
 
     def _should_read(self) -> bool:
         """Return whether to read now; a gateway without any state always reads."""
-        reads = not self._state.revision or self._reader_selection.should_read_store()
+        reason = self._reader_selection.reason_to_read()
+        if not self._state.revision:
+            reason = ReadReason.NO_STATE
+        reads = reason is not None
         if reads != self._is_reading:
             self._is_reading = reads
-            log_event(Event.STORE_READER, reads=reads, revision=self._state.revision)
+            log_event(
+                Event.STORE_READER,
+                reads=reads,
+                reason=reason or "",
+                revision=self._state.revision,
+                age_ms=self._state.age_ms,
+            )
         return reads
 
     async def _read_once(self) -> None:
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -204,14 +204,17 @@
         """Return the ids of engines that are marked as missing."""
         return set(self._missing_since_by_id)
 
-    def expire(self) -> list[str]:
-        """Remove engines that have been missing for too long, and return their ids."""
-        oldest = self._clock.monotonic() - REREGISTRATION_SECONDS
-        expired = [
-            i
+    def expire(self) -> dict[str, float]:
+        """Remove engines that have been missing for too long.
+
+        Return by id for how many seconds they have been.
+        """
+        now = self._clock.monotonic()
+        expired = {
+            i: now - missing_since
             for i, missing_since in self._missing_since_by_id.items()
-            if missing_since < oldest
-        ]
+            if missing_since < now - REREGISTRATION_SECONDS
+        }
         for engine_id in expired:
             self.remove(engine_id)
         return expired
