Derive from the settings how long VMs rely on a reader of the store

Cause: a belief with a lifetime that has nothing to do with its bound, and that others renew. Peers trusted a reader for a constant 2.5 s after its last answer, whatever drain_ms and config_apply_ms were, and looked 0.2 s later. Besides, what a VM had only heard counted as its report: a reader that is cut off has fresh state as soon as another one reads for it, and being first in rank kept that one from reading, for 2.6 s more. Hearsay renewed itself, by the time that digests are under way. A refused reader told nobody.

Change: the shortest of the bounds of the settings is shared out to the stages (gateway/store_timing.py): at 2 s a watch lasts 0.8, relays trust for 1.25, members for 1.6, and look each 0.1 s; at 4 s as before. Digests tell the sender's own read apart (link version 10); relays trust only that, members their relay. A reader whose call fails says so at once. An answer from an older copy confirms nothing. A reader whose read is late takes a peer's news without the delay of 0.4 s. It works since no trust outlives 0.8 of the bound whoever fails, and no word comes back to where it is from.

A harness of the simulated fleet had to be split (exchange apart from the clock).

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -43,6 +43,7 @@
 from dotterelpitch.gateway.settings_reload import SettingsReloader
 from dotterelpitch.gateway.shared_checks import SharedChecks
 from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.gateway.store_timing import StoreTiming
 from dotterelpitch.gateway.store_watcher import StoreWatcher
 from dotterelpitch.gateway.stream_handover import StreamHandover
 from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
@@ -71,7 +72,7 @@
 from dotterelpitch.telemetry.events import Event, log_event
 from dotterelpitch.upstream.engine_check import RunCheck
 from dotterelpitch.upstream.pool import SWEEP_INTERVAL_SECONDS, ConnectionPool
-from dotterelpitch.vm_settings import VmSettings
+from dotterelpitch.vm_settings import FleetBounds, VmSettings
 
 # How long connections of callers are still accepted after SIGTERM. The load balancer
 # checks readiness once per second and stops sending callers after two failed checks.
@@ -182,7 +183,10 @@
         self.handlers = HandlerTable()
         self.handlers.add(ForwardCall, self.peer_calls.handle)
         self._reader_selection = ReaderSelection(
-            self._clock, vm.vm_name, vm.failure_domain
+            self._clock,
+            vm.vm_name,
+            vm.failure_domain,
+            timing=self._store_timing(promises),
         )
         self._peer_links = self._create_peer_links()
         self._store: StoreClient | None = None
@@ -215,7 +219,6 @@
                 self.state,
                 self._store,
                 self._reader_selection,
-                self._settings.watch_seconds,
             )
             tasks = [
                 asyncio.create_task(keep_running("store", store_watcher.run)),
@@ -357,11 +360,18 @@
             rate_limits.update_contact_share,
             self.loads,
             self.retry_budget,
-            self._settings.digest_seconds,
+            self._reader_selection.timing.digest_s,
         )
         peer_links.serve(self.handlers)
         return peer_links
 
+    def _store_timing(self, promises: FleetBounds) -> StoreTiming:
+        """Return how to read the store so that the deployment's bounds are kept."""
+        settings = self._settings
+        return StoreTiming.for_bound(
+            promises.store_change_s, settings.watch_seconds, settings.digest_seconds
+        )
+
     def _own_fleet_vm(self) -> FleetVm:
         """Return the description of this VM for its peers."""
         vm = self._vm
@@ -439,6 +449,9 @@
         self._topology.seeds = tuple(vm.seeds)
         self.state.directory.drain_s = vm.promises.drain_s
         self.state.cold_engines.tolerance = vm.promises.cold_tolerance
+        timing = self._store_timing(vm.promises)
+        self._reader_selection.timing = timing
+        self._peer_links.digest_period_s = timing.digest_s
         self.retry_budget.set_bounds(
             vm.promises.retry_share,
             vm.promises.retry_slack,
--- a/dotterelpitch/gateway/digest_exchange.py
+++ b/dotterelpitch/gateway/digest_exchange.py
@@ -9,14 +9,16 @@
 from dotterelpitch.gateway.link import Link
 from dotterelpitch.gateway.link_topology import LinkTopology, ReportScope
 from dotterelpitch.gateway.reader_selection import ReaderSelection
-from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.gateway.state import MAX_REPORTED_AGE_SECONDS, GatewayState
 from dotterelpitch.protocol.gateway_messages import (
     EVACUATIONS_LINK_VERSION,
+    READ_AGE_LINK_VERSION,
     STORE_ERA_LINK_VERSION,
     ClearanceReport,
     CrashReport,
     GatewayDigest,
     GatewayDigestOfEra,
+    GatewayDigestOfReader,
 )
 from dotterelpitch.routing.crash_detector import is_run_of
 from dotterelpitch.routing.crash_history import Clearance, Crash
@@ -66,10 +68,7 @@
             self._part_suspects.updates_after(link.part_reports_sent)
         )
         config = self._state.config
-        make: Callable[..., GatewayDigest] = GatewayDigest
-        if link.peer.link_version >= STORE_ERA_LINK_VERSION:
-            make = partial(GatewayDigestOfEra, store_era=self._state.position.era)
-        return make(
+        return self._digest_type(link.peer.link_version)(
             relay=self._topology.relay,
             config_version=config.version if config else 0,
             store_revision=self._state.revision,
@@ -88,19 +87,40 @@
             ],
         )
 
+    def _digest_type(self, link_version: int) -> Callable[..., GatewayDigest]:
+        """Return what makes the digests that a peer understands."""
+        era = self._state.position.era
+        if link_version >= READ_AGE_LINK_VERSION:
+            age_s = self._reader_selection.own_read_age_s
+            read_age_ms = int(min(age_s, MAX_REPORTED_AGE_SECONDS) * 1000)
+            return partial(
+                GatewayDigestOfReader, store_era=era, read_age_ms=read_age_ms
+            )
+        if link_version >= STORE_ERA_LINK_VERSION:
+            return partial(GatewayDigestOfEra, store_era=era)
+        return GatewayDigest
+
     def apply(self, link: Link, digest: GatewayDigest) -> None:
         """Apply a peer's digest."""
         link.relay = digest.relay
         peer = link.peer
         store_age_s = digest.store_age_ms / 1000
+        read_age_s = store_age_s
+        if digest.read_age_ms is not None:
+            read_age_s = digest.read_age_ms / 1000
         position = StorePosition(digest.store_era, digest.store_revision)
         passes_on_evacuations = peer.link_version >= EVACUATIONS_LINK_VERSION
         if passes_on_evacuations and position.era >= self._state.position.era:
             self._reader_selection.record_report(
-                peer.name, peer.failure_domain, link.peer_is_relay, store_age_s
+                peer.name,
+                peer.failure_domain,
+                link.peer_is_relay,
+                store_age_s,
+                read_age_s,
             )
         if position == self._state.position:
-            self._state.confirm(position, store_age_s)
+            is_own_relay = peer.name == self._topology.relay
+            self._state.confirm(position, store_age_s if is_own_relay else read_age_s)
         if self._topology.accepts_reports_from(link):
             self._loads.update_source(peer.name, digest.count_by_engine)
         else:
--- a/dotterelpitch/gateway/peer_links.py
+++ b/dotterelpitch/gateway/peer_links.py
@@ -49,7 +49,7 @@
     """Opens links to peers, accepts theirs, and sends digests on all of them.
 
     ``exchanges`` are told in their order. ``update_contact_share`` is called before
-    each round of digests.
+    each round of digests. ``digest_period_s`` is the longest time between two rounds.
     """
 
     def __init__(
@@ -83,7 +83,7 @@
         self._update_contact_share = update_contact_share
         self._loads = loads
         self._retry_budget = retry_budget
-        self._digest_period_s = digest_period_s
+        self.digest_period_s = digest_period_s
         self._handlers = HandlerTable()
         self._task_by_address: dict[str, asyncio.Task] = {}
         self._fetch_task: asyncio.Task | None = None
@@ -107,7 +107,7 @@
                 for link in self._links.all():
                     self._send_digest(link)
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(self._digest_period_s):
+                    async with asyncio.timeout(self.digest_period_s):
                         await changed.wait()
                         await asyncio.sleep(BATCH_DELAY_SECONDS)
         finally:
--- a/dotterelpitch/gateway/record_exchange.py
+++ b/dotterelpitch/gateway/record_exchange.py
@@ -79,7 +79,10 @@
         is_store_away = config is None or self._state.age_s > STORE_AWAY_SECONDS
         if not passes_on_evacuations and not is_store_away:
             return False
-        if config is None or not self._reader_selection.should_read_store():
+        selection = self._reader_selection
+        if config is None or not selection.should_read_store():
+            return True
+        if selection.is_own_read_late():
             return True
         now = self._clock.monotonic()
         if (
--- a/dotterelpitch/gateway/settings.py
+++ b/dotterelpitch/gateway/settings.py
@@ -25,12 +25,13 @@
         "IP:port to which peers connect; the listen address if empty", ""
     )
     watch_seconds: float = setting(
-        "maximum seconds that one watch on the store waits for a change",
+        "maximum seconds that one watch on the store waits for a change; less where "
+        "the deployment's bounds need it",
         1.5,
         check_positive,
     )
     digest_seconds: float = setting(
-        "seconds between two digests to a peer", 0.25, check_positive
+        "maximum seconds between two digests to a peer, likewise", 0.25, check_positive
     )
     mesh_vms: int = setting(
         "largest number of VMs at which all gateways form a full mesh",
--- a/dotterelpitch/gateway/store_watcher.py
+++ b/dotterelpitch/gateway/store_watcher.py
@@ -13,11 +13,6 @@
 # Back-off while the store refuses calls or is unreachable; each call is billed.
 BASE_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 1.0
-# Wait after a change before the next watch: changes come in bursts, and those within
-# this time then share one call.
-BATCH_DELAY_SECONDS = 0.15
-# Interval at which a gateway that doesn't read the store checks whether it should.
-IDLE_POLL_SECONDS = 0.2
 # Entries expire after three missed heartbeats, which takes about this long. After
 # a longer outage a list may lack live engines.
 ENTRY_TTL_SECONDS = 3.0
@@ -31,13 +26,11 @@
         state: GatewayState,
         store: StoreClient,
         reader_selection: ReaderSelection,
-        watch_timeout_s: float,
     ) -> None:
         self._state = state
         self._store = store
         self._reader_selection = reader_selection
         self._is_reading = False
-        self._watch_timeout_s = watch_timeout_s
         self._needs_list = False
         self._failure_count = 0
 
@@ -46,7 +39,8 @@
         while True:
             self._state.expire()
             if not self._should_read():
-                await asyncio.sleep(IDLE_POLL_SECONDS)
+                self._reader_selection.record_no_own_read()
+                await asyncio.sleep(self._reader_selection.timing.poll_s)
                 continue
             try:
                 await self._read_once()
@@ -75,25 +69,33 @@
 
     async def _read_once(self) -> None:
         age_s = self._state.age_s
-        if self._must_list():
+        is_watch = not self._must_list()
+        if not is_watch:
             response = await self._store.read_all(ALL_KEYS_PREFIX)
             may_be_incomplete = age_s > ENTRY_TTL_SECONDS and self._state.revision > 0
             self._state.apply_list(response, may_be_incomplete)
             self._needs_list = False
         else:
+            timing = self._reader_selection.timing
             response = await self._store.watch(
-                ALL_KEYS_PREFIX, self._state.revision, self._watch_timeout_s
+                ALL_KEYS_PREFIX,
+                self._state.revision,
+                timing.watch_s,
+                timing.member_trust_s,
             )
             if response.era != self._state.position.era:
                 raise HistoryLostError("the store was restored")
             self._state.apply_changes(response)
-            if response.records:
-                await asyncio.sleep(BATCH_DELAY_SECONDS)
+        # Of an older copy of the store nothing is used, so it confirms nothing.
+        if response.position == self._state.position:
+            self._reader_selection.record_own_read()
         if self._failure_count:
             log_event(
                 Event.PLATFORM_REACHED, failures=self._failure_count, away_s=age_s
             )
         self._failure_count = 0
+        if is_watch and response.records:
+            await asyncio.sleep(self._reader_selection.timing.batch_delay_s)
 
     def _must_list(self) -> bool:
         """Return whether changes alone wouldn't complete the state."""
@@ -104,6 +106,8 @@
         if not self._failure_count:
             log_event(Event.PLATFORM_UNREACHABLE, reason=str(error))
         self._failure_count += 1
+        if self._reader_selection.record_no_own_read():
+            self._state.notify_peers()
         if self._state.age_s > ENTRY_TTL_SECONDS:
             self._needs_list = True
         backoff_s = BASE_BACKOFF_SECONDS * 2 ** min(self._failure_count, 6)
--- a/dotterelpitch/platform/store.py
+++ b/dotterelpitch/platform/store.py
@@ -12,8 +12,6 @@
 from dotterelpitch.platform._fields import read_field
 from dotterelpitch.store_position import StorePosition
 
-# The store responds to a watch at most this long after the requested wait.
-WATCH_GRACE_SECONDS = 1.0
 # The store responds within milliseconds, so a slower list request is retried.
 LIST_TIMEOUT_SECONDS = 2.0
 
@@ -83,10 +81,13 @@
                 return StoreResponse(tuple(records), revision, era)
             query = {"path_prefix": prefix, "after": records[-1].key}
 
-    async def watch(self, prefix: str, revision: int, wait_s: float) -> StoreResponse:
+    async def watch(
+        self, prefix: str, revision: int, wait_s: float, timeout_s: float
+    ) -> StoreResponse:
         """Return the changes after ``revision``.
 
-        Waits up to ``wait_s`` seconds for the first change. Raises HistoryLostError
+        The store waits up to ``wait_s`` seconds for the first change, and has failed if
+        it hasn't responded after ``timeout_s``. Raises HistoryLostError
         when a full list is needed instead, and PlatformError when the store can't be
         read. If the response is of another era than ``revision``, the changes aren't
         those since then.
@@ -96,7 +97,7 @@
             "after": str(revision),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        era, content = await self._get(_WATCH_PATH, query, wait_s + WATCH_GRACE_SECONDS)
+        era, content = await self._get(_WATCH_PATH, query, timeout_s)
         changes = tuple(_decode_item(e) for e in read_field(content, "events", list))
         return StoreResponse(changes, read_field(content, "store_revision", int), era)
 
--- a/dotterelpitch/platform/vm_settings.py
+++ b/dotterelpitch/platform/vm_settings.py
@@ -54,6 +54,8 @@
         retry_window_s=read_field(bounds, "budget_window_s", (int, float), 10),
         stop_grace_s=read_field(bounds, "grace_s", (int, float), 8),
         drain_s=read_seconds(bounds, "drain_ms", 2000),
+        config_apply_s=read_seconds(bounds, "config_apply_ms", 2000),
+        evacuate_s=read_seconds(bounds, "evacuate_ms", 5000),
         load_multiple=read_field(bounds, "cap_x", (int, float), 2),
         cold_tolerance=ColdTolerance(
             read_field(bounds, "cold_over", (int, float), 1.5),
--- a/dotterelpitch/protocol/gateway_messages.py
+++ b/dotterelpitch/protocol/gateway_messages.py
@@ -28,7 +28,9 @@
 ENGINE_SPEEDS_LINK_VERSION = 8
 # The first one whose gateways understand DismissalDigest.
 DISMISSALS_LINK_VERSION = 9
-LINK_VERSION = DISMISSALS_LINK_VERSION
+# The first one whose gateways tell how old their own last read of the store is.
+READ_AGE_LINK_VERSION = 10
+LINK_VERSION = READ_AGE_LINK_VERSION
 """The link version of this program."""
 
 
@@ -106,6 +108,7 @@
     """
 
     store_era: ClassVar[int] = 0
+    read_age_ms: ClassVar[int | None] = None
     relay: str
     config_version: int
     store_revision: int
@@ -122,6 +125,18 @@
     store_era: int = 0
 
 
+@message(91)
+class GatewayDigestOfReader(GatewayDigestOfEra):
+    """A digest that tells apart what the sender has read and what it has heard.
+
+    ``store_age_ms`` is how long ago the store last confirmed the state to anybody, and
+    ``read_age_ms`` how long ago it did to the sender; a large number if it doesn't read
+    or can't.
+    """
+
+    read_age_ms: int = 0
+
+
 @frozen
 class RateLimitReport:
     """The rate limit that the run of an engine named that began at ``started_ms``.
--- a/dotterelpitch/vm_settings.py
+++ b/dotterelpitch/vm_settings.py
@@ -12,7 +12,9 @@
     In each window of ``retry_window_s``, all VMs together may retry a share of
     ``retry_share`` of the requests to a service, plus ``retry_slack`` requests.
     ``stop_grace_s`` bounds the planned stop of a process, and ``drain_s`` is the
-    drain time of leaving engines. ``cold_tolerance`` is what cold engines may get over
+    drain time of leaving engines, within which no VM sends to one any more. Within
+    ``config_apply_s`` a config is in force at all VMs, and within ``evacuate_s`` the
+    evacuation of a failure domain. ``cold_tolerance`` is what cold engines may get over
     their limit.
     """
 
@@ -21,9 +23,16 @@
     retry_window_s: float
     stop_grace_s: float
     drain_s: float
+    config_apply_s: float
+    evacuate_s: float
     load_multiple: float
     cold_tolerance: ColdTolerance
 
+    @property
+    def store_change_s(self) -> float:
+        """The seconds within which all VMs must act by any change of the store."""
+        return min(self.drain_s, self.config_apply_s, self.evacuate_s)
+
 
 @frozen
 class VmSettings:
--- a/tests/harness/simulated_gateways.py
+++ b/tests/harness/simulated_gateways.py
@@ -85,13 +85,16 @@
             StreamOriginExchange(self.topology, self.stream_origins),
             VersionHistoryExchange(self.clock, self.state),
         ]
+        self.reader_selection = ReaderSelection(
+            self.clock, self.vm.name, self.vm.failure_domain
+        )
         self.digests = DigestExchange(
             self.clock,
             self.state,
             self.topology,
             self.loads,
             self.engine_tracker,
-            ReaderSelection(self.clock, self.vm.name, self.vm.failure_domain),
+            self.reader_selection,
         )
 
 
@@ -123,12 +126,17 @@
         """Let the gateways exchange digests for some seconds."""
         for _ in range(int(seconds / PERIOD_SECONDS)):
             self.clock.advance(PERIOD_SECONDS)
-            for address, gateway in self.alive.items():
-                gateway.topology.update()
-                gateway.rate_limit_exchange.update_contact_share()
-                self._update_links(address, gateway)
-            for (dialer, listener), pair in list(self.links.items()):
-                self._exchange(dialer, listener, pair)
+            self.exchange()
+
+    def exchange(self):
+        """Let each gateway update its links and send its digests once."""
+        for address, gateway in self.alive.items():
+            gateway.topology.update()
+            gateway.reader_selection.is_relay = gateway.topology.is_relay
+            gateway.rate_limit_exchange.update_contact_share()
+            self._update_links(address, gateway)
+        for (dialer, listener), pair in list(self.links.items()):
+            self._exchange(dialer, listener, pair)
 
     def restart(self, address):
         """Replace a gateway by one that knows nothing."""
@@ -202,10 +210,10 @@
                 receiving.apply(receiver_link, message)
 
 
-def make_fleet(count, fast_links=6):
-    """Return a fleet of ``count`` gateways in three failure domains."""
+def make_fleet(count, fast_links=6, domains="abc"):
+    """Return a fleet of ``count`` gateways, in three failure domains by default."""
     clock = ManualClock(100.0)
-    vms = make_vms(count, fast_links=fast_links)
+    vms = make_vms(count, domains, fast_links)
     seeds = [vm.address for vm in vms[:3]]
     return SimulatedFleet(
         clock, {vm.address: SimulatedGateway(vm, clock, seeds) for vm in vms}
