Leave engines their time to register again through a second list

Cause: whether a list may lack living engines was judged by the age of the gateway's state at that list alone. A gateway that has heard of the store's return from a peer has fresh state, and if it then reads the list that it still owed itself, what was only missing is removed at once.

Change: while engines are missing after an outage, a further list removes none at once; those that it lacks too keep the time that they had.

Test: test_second_list_after_an_outage_leaves_the_time_to_reregister, which failed before for a list that is taken for complete (e1 alone left after 0.5 s).

--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -100,7 +100,8 @@
             return
         self.apply_configs(response.records)
         is_restored = self._is_restored(response)
-        may_be_incomplete |= is_restored
+        # Engines that an earlier list lacked still have time to register again.
+        may_be_incomplete |= is_restored or bool(self.directory.missing_ids())
         engines = self._listed_engines(response.records, is_restored)
         self.lacks_evacuations = not has_evacuations
         if has_evacuations:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -116,6 +116,21 @@
     assert usable_ids(state) == ["e1"]
 
 
+# Guards against: engines that live are removed before they have registered again, since
+# a gateway that has heard of the store's return from a peer then reads a list itself.
+@pytest.mark.parametrize("may_be_incomplete", [False, True])
+def test_second_list_after_an_outage_leaves_the_time_to_reregister(
+    state, clock, may_be_incomplete
+):
+    state.apply_list(StoreResponse((engine_record("e1"),), 11), may_be_incomplete=True)
+    clock.advance(0.5)
+    state.apply_list(StoreResponse((engine_record("e1"),), 12), may_be_incomplete)
+    assert usable_ids(state) == ["e1", "e2"]
+    clock.advance(REREGISTRATION_SECONDS - 0.4)
+    state.expire()
+    assert usable_ids(state) == ["e1"]
+
+
 def test_deletion_after_an_outage_is_applied_at_once(state):
     state.apply_list(StoreResponse((), 11), may_be_incomplete=True)
     state.apply_changes(StoreResponse((StoreRecord("servers/e1", None),), 12))
