Judge at the answer whether a list may lack engines

Cause: whether the state is so old that records of living engines may have run out was looked at only when a call failed. A call that failed at an age of 2.9 s was followed by a watch that ended after the return, at 3.1 to 3.3 s (away_s in event 205), and its changes, the deletions of all records, were applied as if each engine had gone.

Change: the age counts at the begin of each read, and again when a watch is answered; changes that came to an outdated state aren't applied, a list is read instead, and the engines that it lacks have their time to register again.

Test: test_store_watcher, two of four cases failed before (e1 alone was left).

--- a/dotterelpitch/gateway/store_watcher.py
+++ b/dotterelpitch/gateway/store_watcher.py
@@ -68,11 +68,11 @@
         return reads
 
     async def _read_once(self) -> None:
-        age_s = self._state.age_s
+        age_s, was_outdated = self._state.age_s, self._is_outdated()
         is_watch = not self._must_list()
         if not is_watch:
             response = await self._store.read_all(ALL_KEYS_PREFIX)
-            may_be_incomplete = age_s > ENTRY_TTL_SECONDS and self._state.revision > 0
+            may_be_incomplete = was_outdated and self._state.revision > 0
             self._state.apply_list(response, may_be_incomplete)
             self._needs_list = False
         else:
@@ -85,6 +85,8 @@
             )
             if response.era != self._state.position.era:
                 raise HistoryLostError("the store was restored")
+            if self._is_outdated():
+                raise HistoryLostError("records of living engines may have expired")
             self._state.apply_changes(response)
         # Of an older copy of the store nothing is used, so it confirms nothing.
         if response.position == self._state.position:
@@ -100,7 +102,12 @@
     def _must_list(self) -> bool:
         """Return whether changes alone wouldn't complete the state."""
         state = self._state
-        return self._needs_list or state.lacks_evacuations or not state.revision
+        is_incomplete = state.lacks_evacuations or not state.revision
+        return self._needs_list or is_incomplete or self._is_outdated()
+
+    def _is_outdated(self) -> bool:
+        """Return whether entries may have expired since the state was confirmed."""
+        return self._state.age_s > ENTRY_TTL_SECONDS
 
     async def _back_off(self, error: PlatformError) -> None:
         if not self._failure_count:
@@ -108,8 +115,6 @@
         self._failure_count += 1
         if self._reader_selection.record_no_own_read():
             self._state.notify_peers()
-        if self._state.age_s > ENTRY_TTL_SECONDS:
-            self._needs_list = True
         backoff_s = BASE_BACKOFF_SECONDS * 2 ** min(self._failure_count, 6)
         await asyncio.sleep(
             min(MAX_BACKOFF_SECONDS, backoff_s) * random.uniform(0.5, 1.0)
