Back off from a store that answers from an older copy

What callers saw: nothing; the gateway called a store that had only older lists without a pause, each call billed, and took processor time from its callers.

Cause: nothing of such an answer is used, but it counted as a read. A watch from a later revision is answered 410 at once, the list that follows is older again, and so on.

Change: an answer older than what was known when it was asked for is a failed call, with its back-off, and the gateway tells its peers that it doesn't read.

--- a/dotterelpitch/gateway/store_watcher.py
+++ b/dotterelpitch/gateway/store_watcher.py
@@ -69,6 +69,7 @@
 
     async def _read_once(self) -> None:
         age_s, was_outdated = self._state.age_s, self._is_outdated()
+        asked_from = self._state.position
         is_watch = not self._must_list()
         if not is_watch:
             response = await self._store.read_all(ALL_KEYS_PREFIX)
@@ -88,7 +89,9 @@
             if self._is_outdated():
                 raise HistoryLostError("records of living engines may have expired")
             self._state.apply_changes(response)
-        # Of an older copy of the store nothing is used, so it confirms nothing.
+        if response.position < asked_from:
+            raise PlatformError("the store has answered from an older copy")
+        # What a peer has told meanwhile may be newer; then this confirms nothing.
         if response.position == self._state.position:
             self._reader_selection.record_own_read()
         if self._failure_count:
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -10,7 +10,7 @@
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.store_watcher import ENTRY_TTL_SECONDS, StoreWatcher
-from dotterelpitch.platform.store import StoreRecord, StoreResponse
+from dotterelpitch.platform.store import HistoryLostError, StoreRecord, StoreResponse
 from tests.harness.store_records import config_record, engine_record
 
 ENGINE_GONE = StoreRecord("servers/e2", None)
@@ -23,14 +23,16 @@
     Lists lack the engine that the watches report as gone.
     """
 
-    def __init__(self, clock, watches):
+    def __init__(self, clock, watches, list_revision=12):
         self._clock = clock
         self._watches = list(watches)
+        self._list_revision = list_revision
         self.lists = 0
 
     async def read_all(self, prefix):
         self.lists += 1
-        return StoreResponse((config_record(1), engine_record("e1")), 12)
+        records = (config_record(1), engine_record("e1"))
+        return StoreResponse(records, self._list_revision)
 
     async def watch(self, prefix, revision, *times):
         if not self._watches:
@@ -42,6 +44,19 @@
         return answer
 
 
+def make_state(clock):
+    state = GatewayState(clock)
+    records = (config_record(1), engine_record("e1"), engine_record("e2"))
+    state.apply_list(StoreResponse(records, 10), may_be_incomplete=False)
+    return state
+
+
+async def run_for(watcher, seconds):
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await watcher.run()
+
+
 def changes(*records, revision=11):
     return StoreResponse(records, revision)
 
@@ -75,13 +90,23 @@
     watches, usable, lists
 ):
     clock = ManualClock(100.0)
-    state = GatewayState(clock)
-    records = (config_record(1), engine_record("e1"), engine_record("e2"))
-    state.apply_list(StoreResponse(records, 10), may_be_incomplete=False)
+    state = make_state(clock)
     store = ScriptedStore(clock, watches)
     watcher = StoreWatcher(state, store, ReaderSelection(clock, "vm1", "a"))
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(0.6):
-            await watcher.run()
+    await run_for(watcher, 0.6)
     assert [engine.id for engine in state.directory.usable("chat")] == usable
     assert store.lists == lists
+
+
+# Guards against: a gateway that gets only lists from an older copy of the store reads
+# one after the other, without a pause.
+async def test_store_that_answers_from_an_older_copy_is_left_alone_for_a_while():
+    clock = ManualClock(100.0)
+    state = make_state(clock)
+    watches = [(0.1, HistoryLostError("unknown revision"))] * 100
+    store = ScriptedStore(clock, watches, list_revision=5)
+    selection = ReaderSelection(clock, "vm1", "a")
+    await run_for(StoreWatcher(state, store, selection), 1.0)
+    assert 1 < store.lists < 8
+    assert state.revision == 10
+    assert selection.own_read_age_s == float("inf")
