Remove engines that are gone after an outage at their time

Cause: engines that the first list lacks are kept for 2 s, but what ends that was called only between two watches, of 1.5 s each, and the removal itself brings no change. The same call ended evacuations held after a restore. Besides, the list itself could come a back-off of 1 s and a hanging attempt to connect after the return, so that 2 s ended after contact_ms even with a timer; and a list by a peer counted from its arrival.

Evidence: missing_ms 3,403 at the reader and 2,177 at its peer, which looks each 0.2 s; one 'kept-for-now' each, no list of the engine in between, so its time didn't begin again and no peer brought it back.

Change: ExpiryTimer sleeps until the next of these times, or a change, and ends what is due. OutageTiming derives from contact_ms how long an engine is kept (2 s, or two thirds of the bound), how long an attempt to connect may take, and the longest back-off; their sum is at most 0.9 of the bound and contains no watch. Records by a peer count from when they were current.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -24,6 +24,7 @@
 from dotterelpitch.gateway.engine_speed_exchange import EngineSpeedExchange
 from dotterelpitch.gateway.engine_status_recorder import EngineStatusRecorder
 from dotterelpitch.gateway.engine_tracker import EngineTracker
+from dotterelpitch.gateway.expiry_timer import ExpiryTimer
 from dotterelpitch.gateway.forwarding import Forwarder
 from dotterelpitch.gateway.ingress import Ingress
 from dotterelpitch.gateway.leaving_engine_checker import LeavingEngineChecker
@@ -43,7 +44,7 @@
 from dotterelpitch.gateway.settings_reload import SettingsReloader
 from dotterelpitch.gateway.shared_checks import SharedChecks
 from dotterelpitch.gateway.state import GatewayState
-from dotterelpitch.gateway.store_timing import StoreTiming
+from dotterelpitch.gateway.store_timing import OutageTiming, StoreTiming
 from dotterelpitch.gateway.store_watcher import StoreWatcher
 from dotterelpitch.gateway.stream_handover import StreamHandover
 from dotterelpitch.gateway.stream_origin_exchange import StreamOriginExchange
@@ -92,8 +93,9 @@
         self._clock = SteadyClock()
         self._stop = asyncio.Event()
         self.state = GatewayState(self._clock)
-        self.state.directory.drain_s = vm.promises.drain_s
-        self.state.cold_engines.tolerance = vm.promises.cold_tolerance
+        self._store: StoreClient | None = None
+        self._store_watcher: StoreWatcher | None = None
+        self._apply_state_bounds(vm.promises)
         self.loads = FleetLoads(self._clock)
         self.engine_tracker = EngineTracker(self._clock, vm.vm_name, vm.failure_domain)
         promises = vm.promises
@@ -189,7 +191,6 @@
             timing=self._store_timing(promises),
         )
         self._peer_links = self._create_peer_links()
-        self._store: StoreClient | None = None
         self._settings_reloader = SettingsReloader(
             settings.settings, vm, self._apply_settings
         )
@@ -214,14 +215,17 @@
         inner = InnerServer(self._identity, self.handlers)
         await inner.start(self._vm.peer_listen)
         async with aiohttp.ClientSession() as session:
-            self._store = StoreClient(self._vm.store_address, session)
-            store_watcher = StoreWatcher(
-                self.state,
-                self._store,
-                self._reader_selection,
+            outage_timing = OutageTiming.for_contact(self._vm.promises.contact_s)
+            self._store = StoreClient(
+                self._vm.store_address, session, outage_timing.connect_timeout_s
+            )
+            self._store_watcher = StoreWatcher(
+                self.state, self._store, self._reader_selection, outage_timing
             )
+            expiry_timer = ExpiryTimer(self._clock, self.state)
             tasks = [
-                asyncio.create_task(keep_running("store", store_watcher.run)),
+                asyncio.create_task(keep_running("store", self._store_watcher.run)),
+                asyncio.create_task(keep_running("expiry", expiry_timer.run)),
                 asyncio.create_task(keep_running("peers", self._peer_links.run)),
                 asyncio.create_task(keep_running("crashes", self.crash_watcher.run)),
                 asyncio.create_task(keep_running("contact", self.contact_watcher.run)),
@@ -432,6 +436,7 @@
             self.ingress.connections.reset_unread(callers.connections)
             self.pool.sweep()
             self._settings_reloader.check()
+            self.state.expire()
             remembered_ids = self.state.directory.remembered_ids()
             self.engine_tracker.retain(remembered_ids)
             self.rate_limits.retain(remembered_ids)
@@ -444,11 +449,21 @@
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._settings_reloader.reload)
 
+    def _apply_state_bounds(self, promises: FleetBounds) -> None:
+        """Let the state of the store keep the deployment's bounds."""
+        outage_timing = OutageTiming.for_contact(promises.contact_s)
+        self.state.directory.drain_s = promises.drain_s
+        self.state.directory.reregistration_s = outage_timing.reregistration_s
+        self.state.cold_engines.tolerance = promises.cold_tolerance
+        if self._store is not None:
+            self._store.connect_timeout_s = outage_timing.connect_timeout_s
+        if self._store_watcher is not None:
+            self._store_watcher.outage_timing = outage_timing
+
     def _apply_settings(self, vm: VmSettings) -> None:
         """Apply the settings that don't need a restart."""
         self._topology.seeds = tuple(vm.seeds)
-        self.state.directory.drain_s = vm.promises.drain_s
-        self.state.cold_engines.tolerance = vm.promises.cold_tolerance
+        self._apply_state_bounds(vm.promises)
         timing = self._store_timing(vm.promises)
         self._reader_selection.timing = timing
         self._peer_links.digest_period_s = timing.digest_s
--- a/dotterelpitch/gateway/state.py
+++ b/dotterelpitch/gateway/state.py
@@ -43,8 +43,8 @@
     ``continuity`` tells when it was confirmed, and whether a gap may have outdated it.
 
     ``position`` is where in the store's history all changes are applied.
-    ``changed`` is set, and replaced by a new event, on each new revision or config and
-    by ``notify_peers``;
+    ``changed`` is set, and replaced by a new event, on each new revision, list, or
+    config, and by ``notify_peers``;
     ``has_config`` is set with the first config.
     """
 
@@ -108,7 +108,7 @@
             self._list_evacuations(response.records, is_restored)
         before_by_id = dict(self.directory.engine_by_id)
         known = set(before_by_id)
-        self.directory.replace_all(engines, may_be_incomplete)
+        self.directory.replace_all(engines, may_be_incomplete, age_s)
         if known:
             self._log_listed(before_by_id, response.revision)
         else:
@@ -120,6 +120,7 @@
             log_event(Event.ENGINE_MISSING, engine=engine_id, action=action)
         self.change_log.restart(response.revision)
         self.confirm(response.position, age_s)
+        self.notify_peers()
 
     def _is_restored(self, response: StoreResponse) -> bool:
         """Return whether the store was restored from a copy since the last response."""
@@ -259,10 +260,15 @@
         if not is_first_list and (known is None or known.run != engine.run):
             self.cold_engines.assume_cold([engine], "it has just been listed")
 
+    def next_expiry_at(self) -> float:
+        """Return the monotonic time at which ``expire`` must be called next."""
+        return min(self.directory.next_expiry_at(), self.evacuations.next_expiry_at())
+
     def expire(self) -> None:
         """Remove the engines that have not re-registered after a store outage.
 
-        What engines that are gone have said of their leaving is forgotten.
+        Evacuations that were only held are ended. What engines that are gone have said
+        of their leaving is forgotten.
         """
         for domain in self.evacuations.expire():
             self.record_by_key.pop(EVACUATION_PREFIX + domain, None)
--- a/dotterelpitch/gateway/store_timing.py
+++ b/dotterelpitch/gateway/store_timing.py
@@ -12,11 +12,17 @@
 | read, passing on | all others have the change | what is left |
 
 A reader that knows that it can't read says so at once, which ends its peers' trust.
+
+After an outage a list may lack engines that live. They register again soon after the
+store's return, and the others must be out of use by the bound for contact after it. The
+list comes at most one failed attempt and one back-off after the return.
 """
 
 from attrs import frozen
 
-# Shares of the bound.
+from dotterelpitch.routing.engines import REREGISTRATION_SECONDS
+
+# Shares of the bound for a change.
 WATCH_SHARE = 0.4
 DIGEST_SHARE = 0.125
 POLL_SHARE = 0.05
@@ -28,6 +34,13 @@
 MIN_BOUND_SECONDS = 0.5
 MAX_POLL_SECONDS = 0.2
 MAX_BATCH_DELAY_SECONDS = 0.15
+# The most of the bound for contact that a missing engine has to register again.
+MAX_REREGISTRATION_SHARE = 2 / 3
+# Shares of what is then left of that bound.
+CONNECT_SHARE = 0.3
+BACKOFF_SHARE = 0.4
+MAX_CONNECT_SECONDS = 1.0
+MAX_BACKOFF_SECONDS = 1.0
 
 
 @frozen
@@ -71,3 +84,37 @@
             poll_s=min(MAX_POLL_SECONDS, POLL_SHARE * bound_s),
             batch_delay_s=min(MAX_BATCH_DELAY_SECONDS, BATCH_SHARE * bound_s),
         )
+
+
+@frozen
+class OutageTiming:
+    """The times of an outage of the store, and of what follows it, in seconds.
+
+    An engine that the first list lacks is kept for ``reregistration_s``. An attempt to
+    connect has failed after ``connect_timeout_s``, and at most ``max_backoff_s`` pass
+    until the next one.
+
+    >>> OutageTiming.for_contact(4.0)
+    OutageTiming(reregistration_s=2.0, connect_timeout_s=0.6, max_backoff_s=0.8)
+    """
+
+    reregistration_s: float
+    connect_timeout_s: float
+    max_backoff_s: float
+
+    @classmethod
+    def for_contact(cls, contact_s: float) -> "OutageTiming":
+        """Return the times with which engines that are gone are out of use in time.
+
+        ``contact_s`` is the bound for that after the store's return.
+        """
+        contact_s = max(contact_s, MIN_BOUND_SECONDS)
+        reregistration_s = min(
+            REREGISTRATION_SECONDS, MAX_REREGISTRATION_SHARE * contact_s
+        )
+        rest_s = contact_s - reregistration_s
+        return cls(
+            reregistration_s=reregistration_s,
+            connect_timeout_s=min(MAX_CONNECT_SECONDS, CONNECT_SHARE * rest_s),
+            max_backoff_s=min(MAX_BACKOFF_SECONDS, BACKOFF_SHARE * rest_s),
+        )
--- a/dotterelpitch/gateway/store_watcher.py
+++ b/dotterelpitch/gateway/store_watcher.py
@@ -6,27 +6,32 @@
 from dotterelpitch.errors import PlatformError
 from dotterelpitch.gateway.reader_selection import ReaderSelection, ReadReason
 from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.gateway.store_timing import OutageTiming
 from dotterelpitch.platform.store import HistoryLostError, StoreClient
 from dotterelpitch.telemetry.events import Event, log_event
 
 ALL_KEYS_PREFIX = ""
 # Back-off while the store refuses calls or is unreachable; each call is billed.
 BASE_BACKOFF_SECONDS = 0.1
-MAX_BACKOFF_SECONDS = 1.0
 # Entries expire after three missed heartbeats, which takes about this long. After
 # a longer outage a list may lack live engines.
 ENTRY_TTL_SECONDS = 3.0
 
 
 class StoreWatcher:
-    """Keeps a GatewayState up to date from the store."""
+    """Keeps a GatewayState up to date from the store.
+
+    ``outage_timing`` says how often a store that is away is tried.
+    """
 
     def __init__(
         self,
         state: GatewayState,
         store: StoreClient,
         reader_selection: ReaderSelection,
+        outage_timing: OutageTiming,
     ) -> None:
+        self.outage_timing = outage_timing
         self._state = state
         self._store = store
         self._reader_selection = reader_selection
@@ -37,7 +42,6 @@
     async def run(self) -> None:
         """Read the store until cancelled, with back-off after failures."""
         while True:
-            self._state.expire()
             if not self._should_read():
                 self._reader_selection.record_no_own_read()
                 await asyncio.sleep(self._reader_selection.timing.poll_s)
@@ -120,5 +124,5 @@
             self._state.notify_peers()
         backoff_s = BASE_BACKOFF_SECONDS * 2 ** min(self._failure_count, 6)
         await asyncio.sleep(
-            min(MAX_BACKOFF_SECONDS, backoff_s) * random.uniform(0.5, 1.0)
+            min(self.outage_timing.max_backoff_s, backoff_s) * random.uniform(0.5, 1.0)
         )
--- a/dotterelpitch/platform/vm_settings.py
+++ b/dotterelpitch/platform/vm_settings.py
@@ -56,6 +56,7 @@
         drain_s=read_seconds(bounds, "drain_ms", 2000),
         config_apply_s=read_seconds(bounds, "config_apply_ms", 2000),
         evacuate_s=read_seconds(bounds, "evacuate_ms", 5000),
+        contact_s=read_seconds(bounds, "contact_ms", 3000),
         load_multiple=read_field(bounds, "cap_x", (int, float), 2),
         cold_tolerance=ColdTolerance(
             read_field(bounds, "cold_over", (int, float), 1.5),
--- a/dotterelpitch/routing/engines.py
+++ b/dotterelpitch/routing/engines.py
@@ -2,8 +2,8 @@
 
 Entries come from a registry that can be unavailable for a while and can lose
 entries meanwhile. An engine that is missing from the first full list after an
-outage stays in the directory for ``REREGISTRATION_SECONDS``, in which it can
-register again.
+outage stays in the directory for ``reregistration_s``, in which it can register
+again.
 """
 
 from collections.abc import Callable, Iterable
@@ -77,7 +77,8 @@
 class EngineDirectory:
     """Registered engines by id, and the recently deregistered ones.
 
-    ``drain_s`` is the drain time of leaving engines in seconds. ``on_restart`` is
+    ``drain_s`` is the drain time of leaving engines in seconds, and
+    ``reregistration_s`` how long a missing one is kept. ``on_restart`` is
     called with the previous run of an engine that has registered with a later start.
     ``version_history`` holds the versions that were listed lately.
     ``is_known_to_leave`` returns whether a run leaves whatever the registry says;
@@ -96,6 +97,7 @@
 
     _clock: Clock
     drain_s: float = DEFAULT_DRAIN_SECONDS
+    reregistration_s: float = REREGISTRATION_SECONDS
     on_restart: Callable[[Engine], None] | None = None
     engine_by_id: dict[str, Engine] = field(factory=dict)
     _registered_by_id: dict[str, Engine] = field(factory=dict)
@@ -181,12 +183,14 @@
             self._departed_by_id[engine_id] = (self._clock.monotonic(), engine)
         self._usable_by_service.clear()
 
-    def replace_all(self, engines: Iterable[Engine], may_be_incomplete: bool) -> None:
+    def replace_all(
+        self, engines: Iterable[Engine], may_be_incomplete: bool, age_s: float = 0.0
+    ) -> None:
         """Replace all entries with a full list from the registry.
 
         With ``may_be_incomplete``, engines that aren't listed are only marked as
         missing; ``expire`` removes them if they are still missing
-        ``REREGISTRATION_SECONDS`` later.
+        ``reregistration_s`` after the list, which is ``age_s`` old.
         """
         listed_ids = set()
         for engine in engines:
@@ -196,7 +200,7 @@
         now = self._clock.monotonic()
         for engine_id in self.engine_by_id.keys() - listed_ids:
             if may_be_incomplete:
-                self._missing_since_by_id.setdefault(engine_id, now)
+                self._missing_since_by_id.setdefault(engine_id, now - age_s)
             else:
                 self.remove(engine_id)
 
@@ -213,12 +217,17 @@
         expired = {
             i: now - missing_since
             for i, missing_since in self._missing_since_by_id.items()
-            if missing_since < now - REREGISTRATION_SECONDS
+            if missing_since <= now - self.reregistration_s
         }
         for engine_id in expired:
             self.remove(engine_id)
         return expired
 
+    def next_expiry_at(self) -> float:
+        """Return the monotonic time at which ``expire`` removes the next engine."""
+        missing_since = min(self._missing_since_by_id.values(), default=float("inf"))
+        return missing_since + self.reregistration_s
+
     def usable(self, service: str) -> list[Engine]:
         """Return the engines of ``service`` that accept new requests, sorted by id."""
         engines = self._usable_by_service.get(service)
--- a/dotterelpitch/routing/evacuations.py
+++ b/dotterelpitch/routing/evacuations.py
@@ -73,11 +73,15 @@
     def expire(self) -> list[str]:
         """End the evacuations that weren't written again, and return their domains."""
         now = self._clock.monotonic()
-        expired = [d for d, until in self._held_until_by_domain.items() if until < now]
+        expired = [d for d, until in self._held_until_by_domain.items() if until <= now]
         for domain in expired:
             self.end(domain)
         return expired
 
+    def next_expiry_at(self) -> float:
+        """Return the monotonic time at which ``expire`` ends the next evacuation."""
+        return min(self._held_until_by_domain.values(), default=float("inf"))
+
     def _replace(self, domains: frozenset[str]) -> None:
         before = self.domains
         if domains == before:
--- a/dotterelpitch/vm_settings.py
+++ b/dotterelpitch/vm_settings.py
@@ -14,7 +14,8 @@
     ``stop_grace_s`` bounds the planned stop of a process, and ``drain_s`` is the
     drain time of leaving engines, within which no VM sends to one any more. Within
     ``config_apply_s`` a config is in force at all VMs, and within ``evacuate_s`` the
-    evacuation of a failure domain. ``cold_tolerance`` is what cold engines may get over
+    evacuation of a failure domain. So long after the store's return, ``contact_s``, all
+    these hold again. ``cold_tolerance`` is what cold engines may get over
     their limit.
     """
 
@@ -25,6 +26,7 @@
     drain_s: float
     config_apply_s: float
     evacuate_s: float
+    contact_s: float
     load_multiple: float
     cold_tolerance: ColdTolerance
 
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -9,10 +9,12 @@
 from dotterelpitch.errors import PlatformError
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.state import GatewayState
+from dotterelpitch.gateway.store_timing import OutageTiming
 from dotterelpitch.gateway.store_watcher import ENTRY_TTL_SECONDS, StoreWatcher
 from dotterelpitch.platform.store import HistoryLostError, StoreRecord, StoreResponse
 from tests.harness.store_records import config_record, engine_record
 
+OUTAGE_TIMING = OutageTiming.for_contact(3.0)
 ENGINE_GONE = StoreRecord("servers/e2", None)
 
 
@@ -92,8 +94,8 @@
     clock = ManualClock(100.0)
     state = make_state(clock)
     store = ScriptedStore(clock, watches)
-    watcher = StoreWatcher(state, store, ReaderSelection(clock, "vm1", "a"))
-    await run_for(watcher, 0.6)
+    selection = ReaderSelection(clock, "vm1", "a")
+    await run_for(StoreWatcher(state, store, selection, OUTAGE_TIMING), 0.6)
     assert [engine.id for engine in state.directory.usable("chat")] == usable
     assert store.lists == lists
 
@@ -106,7 +108,7 @@
     watches = [(0.1, HistoryLostError("unknown revision"))] * 100
     store = ScriptedStore(clock, watches, list_revision=5)
     selection = ReaderSelection(clock, "vm1", "a")
-    await run_for(StoreWatcher(state, store, selection), 1.0)
+    await run_for(StoreWatcher(state, store, selection, OUTAGE_TIMING), 1.0)
     assert 1 < store.lists < 8
     assert state.revision == 10
     assert selection.own_read_age_s == float("inf")
