Take no answer with a status that HTTP doesn't have

What callers got (MIXED, reported from other systems): an engine's answer with status 600 or 999, passed on as it came, direct and through a peer; for 000 to 099 a 502, but only once the engine closed its connection, since below 200 an answer counted as interim.

Cause: the parser takes three digits, and nothing behind it asked whether HTTP has such a status. A peer's word was taken too.

Change: such an answer is garbled at once, from an engine or a peer.

--- a/dotterelpitch/gateway/peer_response.py
+++ b/dotterelpitch/gateway/peer_response.py
@@ -19,6 +19,7 @@
 from dotterelpitch.upstream.connection import HttpResponseHead
 from dotterelpitch.upstream.errors import AnswerGarbledError, AnswerLostError
 from dotterelpitch.upstream.response_source import ResponseSource
+from dotterelpitch.upstream.status_codes import is_final_status
 
 # Larger parts of a body are sent in several messages, so that other streams of the
 # connection get their turn.
@@ -81,9 +82,14 @@
 
 
 class PeerResponse(ResponseSource):
-    """The response that a peer sends to a call forwarded to it."""
+    """The response that a peer sends to a call forwarded to it.
+
+    Raises AnswerGarbledError if its status isn't one of a final response.
+    """
 
     def __init__(self, stream: Stream, head: ForwardedHead) -> None:
+        if not is_final_status(head.status):
+            raise AnswerGarbledError(f"the peer answered with status {head.status}")
         self._stream = stream
         headers = decode_headers(head.headers)
         value_by_name = {name.lower(): value for name, value in headers}
--- a/dotterelpitch/upstream/connection.py
+++ b/dotterelpitch/upstream/connection.py
@@ -13,6 +13,7 @@
     PathLostError,
 )
 from dotterelpitch.upstream.response_source import ResponseSource
+from dotterelpitch.upstream.status_codes import is_final_status, is_valid_status
 from dotterelpitch.upstream.transfer_codings import TRANSFER_ENCODING, are_readable
 
 # Reading from the engine pauses while more than this of a body is unread.
@@ -194,8 +195,12 @@
         if self._is_complete or self._error is not None:
             return
         status = self._parser.get_status_code()
+        if not is_valid_status(status):
+            self._fail(AnswerGarbledError(f"HTTP has no status {status:03}"))
+            return
         value_by_name = {name.lower(): value for name, value in self._raw_headers}
-        self._is_ignored = status < 200 or self._is_for_another_request(value_by_name)
+        is_interim = not is_final_status(status)
+        self._is_ignored = is_interim or self._is_for_another_request(value_by_name)
         if self._is_ignored:
             return
         if not self._parser.should_keep_alive():
--- a/tests/test_peer_forwarding_wire.py
+++ b/tests/test_peer_forwarding_wire.py
@@ -165,6 +165,15 @@
     writer.abort()
 
 
+def answer_with(status):
+    """Return a script that answers as a peer of an earlier version may."""
+
+    async def script(call, writer):
+        await writer.send_response(status, [], b"no")
+
+    return script
+
+
 async def hang(call, writer):
     await asyncio.Event().wait()
 
@@ -202,6 +211,8 @@
         (break_off, "/resumable/1", b"", AttemptOutcome.LOST, 200, EVENTS[0], False),
         (break_off, "/safe/1", b"", AttemptOutcome.LOST, 0, b"", False),
         (fail, "/unsafe/1", b"", AttemptOutcome.LOST, 0, b"", False),
+        (answer_with(0), "/unsafe/1", b"", AttemptOutcome.LOST, 0, b"", False),
+        (answer_with(600), "/safe/1", b"", AttemptOutcome.LOST, 0, b"", False),
         (hang, "/unsafe/1", b"", AttemptOutcome.TIMED_OUT, 0, b"", False),
     ],
 )
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -155,6 +155,17 @@
 }
 
 
+# Guards against: an answer whose status isn't one of HTTP is passed on, or waited for.
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
+@pytest.mark.parametrize("answer", [COMPLETE, UNFRAMED, CHUNKED])
+async def test_answer_with_an_invalid_status_is_refused_at_once(status, answer):
+    connection, _ = connection_with_sent_request()
+    connection.data_received(answer.replace(b"200", status, 1))
+    with pytest.raises(AnswerGarbledError, match="status"):
+        await connection.read_head()
+    assert connection.is_closing
+
+
 # Guards against: an answer that was cut, in its head or behind it, is taken for whole.
 @pytest.mark.parametrize("answer", FRAMED.values(), ids=FRAMED.keys())
 @pytest.mark.parametrize("error", [None, ConnectionResetError()], ids=["FIN", "RST"])
