Take no such answer on the product's own interface either

Chats, plain calls, and keyed calls counted an endpoint's answer with status 000 or 099 as whole (a key as completed), and plain calls one with 600 or 999, since aiohttp reads any number. The head is checked before anything of it is passed on.

--- a/dotterelpitch/router/engine_call.py
+++ b/dotterelpitch/router/engine_call.py
@@ -17,7 +17,7 @@
 )
 from dotterelpitch.protocol.stream import Stream
 from dotterelpitch.router.idle_timeout import idle_timeout
-from dotterelpitch.router.response_body import read_body
+from dotterelpitch.router.response_body import check_head, read_body
 from dotterelpitch.telemetry.metrics import get_metrics
 from dotterelpitch.telemetry.usage import UsageReader
 
@@ -100,6 +100,7 @@
                 idle_timeout(timeouts.first_token) as idle,
                 self._open_response() as response,
             ):
+                check_head(response)
                 if response.status >= FIRST_SERVER_ERROR_STATUS:
                     reason = f"status {response.status}"
                     return CallResult(CallEnd.SERVER_ERROR, reason)
--- a/dotterelpitch/router/plain_owner.py
+++ b/dotterelpitch/router/plain_owner.py
@@ -11,7 +11,7 @@
     ResponseHead,
 )
 from dotterelpitch.protocol.stream import Stream
-from dotterelpitch.router.response_body import read_body
+from dotterelpitch.router.response_body import check_head, read_body
 from dotterelpitch.router.state import FleetState
 
 FORWARDED_RESPONSE_HEADERS = ("Content-Type", "Content-Language", "Location", "ETag")
@@ -40,6 +40,7 @@
                 timeout=call_timeout(document.timeouts),
                 allow_redirects=False,
             ) as response:
+                check_head(response)
                 await stream.send(
                     ResponseHead(response.status, forwarded_headers(response))
                 )
--- a/tests/test_broken_off_responses.py
+++ b/tests/test_broken_off_responses.py
@@ -1,9 +1,11 @@
 """Responses of engines and endpoints of the product's own interface that break off."""
 
 import asyncio
+from functools import partial
 from types import SimpleNamespace
 
 import aiohttp
+import attrs
 import pytest
 
 from dotterelpitch.documents.model import (
@@ -78,11 +80,11 @@
     return result.end is CallEnd.COMPLETE
 
 
-async def takes_plain_call_for_whole(endpoint):
+async def takes_plain_call_for_whole(endpoint, method="GET", body=b""):
     """Return whether the response to a plain call counts as whole."""
     document = ServiceDocument(SERVICE, endpoints=[endpoint])
     view = SimpleNamespace(document_by_service={SERVICE: document})
-    call = DispatchPlain("r1", SERVICE, endpoint.name, "a", "GET", "/1", [], b"")
+    call = DispatchPlain("r1", SERVICE, endpoint.name, "a", method, "/1", [], body)
     stream = RecordingStream()
     async with aiohttp.ClientSession() as session:
         handler = PlainOwnerHandler(SimpleNamespace(view=view), session)
@@ -90,11 +92,11 @@
     return not isinstance(stream.messages[-1], DispatchFailed)
 
 
-async def takes_keyed_call_for_whole(endpoint):
+async def takes_keyed_call_for_whole(endpoint, body=b""):
     """Return whether the response to a keyed call counts as whole."""
     owner, entry = accepted_entry(settled_world())
     client = KeyedEndpointClient(owner)
-    request = dispatch_message(entry, "PUT")
+    request = attrs.evolve(dispatch_message(entry, "PUT"), body=body)
     answer = await client.call(entry, request, ServiceDocument(SERVICE), endpoint)
     await client.close()
     return answer.outcome is Outcome.COMPLETED
@@ -113,6 +115,10 @@
     "cut in its head": (WITHOUT_LENGTH[:-2], False, False),
     "with length, cut": (WITH_LENGTH[:-1], False, False),
     "in chunks, cut": (CHUNKED, False, False),
+    **{
+        f"status {status}": (WITH_LENGTH.replace(b"200", status), False, False)
+        for status in (b"000", b"099", b"600", b"999")
+    },
 }
 
 
@@ -130,3 +136,16 @@
 ):
     async with BreakingServer(answer, resets) as endpoint:
         assert await is_taken_for_whole(endpoint) is is_whole
+
+
+# Guards against: a part of an answer that came while a long upload was still being
+# written, and was cut by a reset, counts as whole.
+@pytest.mark.parametrize("part", [b"ok", b"x" * 600_000])
+async def test_early_answer_to_an_upload_cut_by_a_reset_isnt_whole(part):
+    upload = b"y" * 3_000_000
+    for call in (
+        partial(takes_plain_call_for_whole, method="POST", body=upload),
+        partial(takes_keyed_call_for_whole, body=upload),
+    ):
+        async with BreakingServer(WITHOUT_LENGTH + part, resets=True) as endpoint:
+            assert not await call(endpoint)
