Fetch records from another peer while one is silent

Cause: one fetch at a time, which only its own timeout ended.

Change: after 0.4 of the bound for changes a second peer that has news is asked as well, two at most; what comes late is older by then and not used. On a slow link a large config may so come twice.

--- a/dotterelpitch/gateway/peer_links.py
+++ b/dotterelpitch/gateway/peer_links.py
@@ -86,7 +86,7 @@
         self.digest_period_s = digest_period_s
         self._handlers = HandlerTable()
         self._task_by_address: dict[str, asyncio.Task] = {}
-        self._fetch_task: asyncio.Task | None = None
+        self._fetch_tasks: set[asyncio.Task] = set()
         self._max_vms_seen = 1
 
     def serve(self, handlers: HandlerTable) -> None:
@@ -210,8 +210,11 @@
 
     def _apply_digest(self, link: Link, digest: GatewayDigest) -> None:
         self._digests.apply(link, digest)
-        if self._records.should_fetch(digest, link.peer.link_version):
-            self._fetch_task = asyncio.create_task(self._records.fetch(link))
+        peer = link.peer
+        if self._records.should_fetch(digest, peer.link_version, peer.name):
+            task = asyncio.create_task(self._records.fetch(link))
+            self._fetch_tasks.add(task)
+            task.add_done_callback(self._fetch_tasks.discard)
 
     def _send_digest(self, link: Link) -> None:
         """Queue a digest; a peer whose connection is congested gets a later one."""
--- a/dotterelpitch/gateway/record_exchange.py
+++ b/dotterelpitch/gateway/record_exchange.py
@@ -36,6 +36,8 @@
 STORE_AWAY_SECONDS = 3.0
 # A large config takes about a second on a slow link that also serves callers.
 FETCH_TIMEOUT_SECONDS = 2.5
+# Fetches from different peers at one time.
+MAX_FETCHES = 2
 # The fastest level; it already makes a config several times smaller.
 COMPRESSION_LEVEL = 1
 # As the revision up to which records are known, it asks for all.
@@ -55,17 +57,17 @@
         self._reader_selection = reader_selection
         self._compressed_config: tuple[bytes, bytes] = (b"", b"")
         self._behind_since: float | None = None
-        self._is_fetching = False
+        self._fetch_began_by_vm: dict[str, float] = {}
 
     def should_fetch(
-        self, digest: GatewayDigest, link_version: int = LINK_VERSION
+        self, digest: GatewayDigest, link_version: int = LINK_VERSION, vm: str = ""
     ) -> bool:
-        """Return whether to fetch records from the sender of a digest now.
+        """Return whether to fetch records from ``vm``, which has sent a digest, now.
 
         Gateways of an earlier ``link_version`` don't pass evacuations on, so they are
         asked only while the store is away.
         """
-        if self._is_fetching:
+        if not self._may_begin_fetch(vm):
             return False
         config = self._state.config
         version = config.version if config else 0
@@ -94,15 +96,28 @@
 
     async def fetch(self, link: Link) -> None:
         """Fetch newer records from a peer; failures are logged, not raised."""
-        self._is_fetching = True
+        vm = link.peer.name
+        self._fetch_began_by_vm[vm] = self._clock.monotonic()
         try:
             await self._fetch(link)
         except (PeerError, ProtocolError, TimeoutError) as error:
-            log_event(Event.FETCH_FAILED, vm=link.peer.name, reason=repr(error))
+            log_event(Event.FETCH_FAILED, vm=vm, reason=repr(error))
         finally:
-            self._is_fetching = False
+            del self._fetch_began_by_vm[vm]
             self._behind_since = None
 
+    def _may_begin_fetch(self, vm: str) -> bool:
+        """Return whether no other fetch is under way that may still be answered soon.
+
+        A peer may fall silent after its digest, so another one is asked as well.
+        """
+        began_by_vm = self._fetch_began_by_vm
+        if vm in began_by_vm or len(began_by_vm) >= MAX_FETCHES:
+            return False
+        last_began = max(began_by_vm.values(), default=float("-inf"))
+        hedge_s = self._reader_selection.timing.fetch_hedge_s
+        return self._clock.monotonic() - last_began >= hedge_s
+
     async def answer(self, stream: Stream, request: FetchRecords) -> None:
         """Send a peer the records that it lacks."""
         await stream.send(self.make_batch(request))
--- a/dotterelpitch/gateway/store_timing.py
+++ b/dotterelpitch/gateway/store_timing.py
@@ -27,6 +27,7 @@
 DIGEST_SHARE = 0.125
 POLL_SHARE = 0.05
 BATCH_SHARE = 0.075
+FETCH_HEDGE_SHARE = 0.4
 # What a busy VM may add to a report's age, for the first link and for the second one.
 RELAY_LAG_SHARE = 0.1
 MEMBER_LAG_SHARE = 0.05
@@ -53,7 +54,8 @@
     younger than ``member_trust_s``; ``poll_s`` is how often it looks. A watch that has
     got no response by then has failed. ``batch_delay_s`` is the wait after a change
     before the next watch: changes come in bursts, and those within this time then share
-    one call.
+    one call. Records that a peer hasn't sent after ``fetch_hedge_s`` are fetched from
+    another one as well.
 
     >>> timing = StoreTiming.for_bound(2.0, max_watch_s=1.5, max_digest_s=0.25)
     >>> timing.watch_s, timing.relay_trust_s, timing.member_trust_s
@@ -66,6 +68,7 @@
     member_trust_s: float
     poll_s: float
     batch_delay_s: float
+    fetch_hedge_s: float
 
     @classmethod
     def for_bound(
@@ -83,6 +86,7 @@
             member_trust_s=relay_trust_s + digest_s + MEMBER_LAG_SHARE * bound_s,
             poll_s=min(MAX_POLL_SECONDS, POLL_SHARE * bound_s),
             batch_delay_s=min(MAX_BATCH_DELAY_SECONDS, BATCH_SHARE * bound_s),
+            fetch_hedge_s=FETCH_HEDGE_SHARE * bound_s,
         )
 
 
