--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -216,9 +216,8 @@
         await inner.start(self._vm.peer_listen)
         async with aiohttp.ClientSession() as session:
             outage_timing = OutageTiming.for_contact(self._vm.promises.contact_s)
-            self._store = StoreClient(
-                self._vm.store_address, session, outage_timing.connect_timeout_s
-            )
+            self._store = StoreClient(self._vm.store_address, session)
+            self._store.connect_timeout_s = outage_timing.connect_timeout_s
             self._store_watcher = StoreWatcher(
                 self.state, self._store, self._reader_selection, outage_timing
             )
--- a/dotterelpitch/platform/store.py
+++ b/dotterelpitch/platform/store.py
@@ -48,19 +48,12 @@
 
 
 class StoreClient:
-    """Reads the platform's store over one aiohttp session.
+    """Reads the store; connecting may take ``connect_timeout_s`` seconds."""
 
-    ``connect_timeout_s`` is how long a connection may take to open.
-    """
+    connect_timeout_s = 1.0
 
-    def __init__(
-        self,
-        address: str,
-        session: aiohttp.ClientSession,
-        connect_timeout_s: float,
-    ) -> None:
+    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
         self._session = session
-        self.connect_timeout_s = connect_timeout_s
         self.set_address(address)
 
     def set_address(self, address: str) -> None:
@@ -114,9 +107,7 @@
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> tuple[int, Any]:
         """Return the era of the store and the content of its response."""
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s, sock_connect=self.connect_timeout_s
-        )
+        timeout = aiohttp.ClientTimeout(timeout_s, sock_connect=self.connect_timeout_s)
         try:
             async with self._session.get(
                 self._url + path, params=query, timeout=timeout
--- a/dotterelpitch/platform/vm_settings.py
+++ b/dotterelpitch/platform/vm_settings.py
@@ -29,7 +29,6 @@
 def _decode(content: Any) -> VmSettings:
     listen = read_field(content, "listen", dict)
     seeds = read_field(content, "seeds", list, [])
-    store = read_field(content, "platform", dict)
     limits = read_field(content, "limits", dict)
     return VmSettings(
         vm_name=read_field(content, "node_name", str),
@@ -38,7 +37,7 @@
         ready_listen=_read_address(listen, "ready"),
         peer_listen=_read_address(listen, "control"),
         seeds=tuple(_validate_address("seeds", seed) for seed in seeds),
-        store_address=_read_address(store, "address"),
+        store_address=_read_address(read_field(content, "platform", dict), "address"),
         ip=read_field(content, "ip", str),
         memory_mb=int(read_field(limits, "memory_mb", (int, float))),
         descriptors=int(read_field(limits, "max_fds", (int, float), 0)),
