--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,98 +1,70 @@
-"""A crowd sends requests whose path has very many slashes."""
+"""An engine that fails part of its bookings after it has run them answers 503."""
 
 import asyncio
-import contextlib
+import random
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from parts3 import (
+    APP,
     BROKEN,
     HELD,
     Caller,
-    read_response,
-    request_bytes,
+    answer_plain,
     run_case,
 )
 
-CONNECTIONS = 150
-# With its other fields a request's head stays within max_header_bytes (16,384).
-PATH_CHARS = 15_000
-SECONDS = 25.0
-TIMEOUT_S = 0.8
-LATER_S = 0.5
-LEAST = 8
+FAILED_SHARE = 0.45
+FAILING_SECONDS = 6.5
+SECONDS = 12.0
+# With these a client is told that its request hasn't run and never will.
+PROMISES = {408, 421, 429, 503}
 
 
-async def send_paths(gateway, number, trouble, until):
-    """Send one request after the other, each when the last one has been answered."""
-    host, _, port = gateway.front.rpartition(":")
-    path = "/" + ("/" if trouble else "a") * PATH_CHARS
-    writer = None
-    count = 0
-    with contextlib.suppress(OSError, TimeoutError):
-        async with asyncio.timeout_at(until):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            while True:
-                count += 1
-                writer.write(request_bytes("GET", path, f"path-{number}-{count}"))
-                if await read_response(reader) is None:
-                    break
-    if writer is not None:
-        writer.transport.abort()
-    return count
+def answer_or_fail(until):
+    """Return an answer of an engine that books, and then fails part of the time."""
 
+    async def answer(engine, request_id, headers, writer):
+        if time.monotonic() > until or random.random() >= FAILED_SHARE:
+            return await answer_plain(engine, request_id, headers, writer)
+        await asyncio.sleep(0.02)
+        engine.record(f"{engine.id} has run {request_id} and answers 503")
+        body = b"booked, but the receipt failed"
+        head = engine.head(
+            request_id, f"Content-Length: {len(body)}", status="503 Service Unavailable"
+        )
+        writer.write(head + body)
+        return True
 
-async def check_ready(gateway, record, misses):
-    """Ask once a second, as the platform does."""
-    while True:
-        if not await gateway.is_ready():
-            misses.append(gateway.name)
-            record(f"{gateway.name} doesn't say that it is ready within a second")
-        await asyncio.sleep(1.0)
+    return answer
 
 
 async def play(site, record, trouble):
     await site.start(models=0)
-    misses = []
-    callers = [
-        Caller(record, g, f"book-{g.name}", deadline_ms=1500) for g in site.gateways
-    ]
+    if trouble:
+        failing = next(e for e in site.engines if e.service == APP)
+        failing.answer = answer_or_fail(time.monotonic() + FAILING_SECONDS)
+    callers = [Caller(record, g, f"book-{g.name}") for g in site.gateways]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
-    tasks += [
-        asyncio.create_task(check_ready(g, record, misses)) for g in site.gateways
-    ]
-    await asyncio.sleep(2.0)
-    until = asyncio.get_running_loop().time() + SECONDS
-    counts = await asyncio.gather(
-        *(
-            send_paths(gateway, number, trouble, until)
-            for gateway in site.gateways
-            for number in range(CONNECTIONS)
-        )
-    )
+    await asyncio.sleep(SECONDS)
     for task in tasks:
         task.cancel()
-    record(f"{sum(counts)} requests of the crowd, {len(misses)} checks missed")
-    print(f"{sum(counts)} requests of the crowd, {len(misses)} checks missed")
-    late = unanswered = ran = 0
+    broken = [
+        (request_id, status, site.runs(request_id))
+        for caller in callers
+        for request_id, status in caller.status_by_id.items()
+        if status in PROMISES and site.runs(request_id)
+    ]
     for caller in callers:
-        for request_id, seconds in caller.seconds_by_id.items():
-            if seconds >= TIMEOUT_S:
-                late += 1
-            if seconds >= TIMEOUT_S + LATER_S:
-                unanswered += 1
-                ran += bool(site.runs(request_id))
         record(f"{caller.count()}")
         print(caller.count())
-    text = (
-        f"{late} bookings unanswered at timeout_ms, {unanswered} of them {LATER_S} s "
-        f"later; {ran} of these have run"
-    )
-    record(text)
-    print(text)
-    return BROKEN if unanswered >= LEAST and 2 * unanswered > late else HELD
+    for request_id, status, engines in broken:
+        record(f"REFUSED: {request_id} was answered {status} and ran at {engines}")
+    print(f"{len(broken)} bookings refused that have run")
+    return BROKEN if broken else HELD
 
 
 run_case(__file__, play)
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 import pathlib
 import py_compile
 
-files = ["review/parts3.py", *map(str, pathlib.Path("review").glob("1[1-5]/case.py"))]
+files = ["review/parts3.py", *map(str, pathlib.Path("review").glob("1[1-4]/case.py"))]
 for file in files:
     name = file.replace("/", "-") + "c"
     py_compile.compile(file, cfile=f"target/review-3/{name}", doraise=True)
--- a/review/parts3.py
+++ b/review/parts3.py
@@ -12,6 +12,7 @@
 import shlex
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -394,13 +395,14 @@
 class Link:
     """A network link to a machine's own address, for other machines.
 
-    During a cut what the others send is held up; it arrives when the cut ends. It is a
-    process of its own, so that it doesn't slow the other stand-ins.
+    It passes on ``bytes_per_s`` of what the others send. It is a process of its own, so
+    that it doesn't slow the other stand-ins.
     """
 
-    def __init__(self, target):
+    def __init__(self, target, bytes_per_s):
         self.address = ""
         self._target = target
+        self._bytes_per_s = bytes_per_s
         self._process = None
 
     async def start(self):
@@ -409,6 +411,7 @@
             "-B",
             __file__,
             self._target,
+            str(self._bytes_per_s),
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
         )
@@ -419,35 +422,22 @@
             self._process.kill()
             await self._process.wait()
 
-    def cut(self):
-        """Hold up what the others send."""
-        self._process.stdin.write(b"cut\n")
-
-    def heal(self):
-        """Pass on what was held up, and all that follows."""
-        self._process.stdin.write(b"heal\n")
-
 
 class LinkServer:
-    """What a link's process does."""
+    """What a link's process does; a connection that ends at one end is reset there."""
 
-    def __init__(self, target):
+    def __init__(self, target, bytes_per_s):
         self._target = target
-        self._open = asyncio.Event()
-        self._open.set()
+        self._bytes_per_s = bytes_per_s
 
     async def run(self):
-        """Serve until standard input ends; each of its lines says cut or heal."""
+        """Serve until standard input ends."""
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32 * 1024)
         sock.bind(("127.0.0.1", 0))
         await asyncio.start_server(self._serve, sock=sock, limit=16 * 1024)
         print("{}:{}".format(*sock.getsockname()), flush=True)
-        while line := await asyncio.to_thread(sys.stdin.readline):
-            if line.strip() == "cut":
-                self._open.clear()
-            else:
-                self._open.set()
+        await asyncio.to_thread(sys.stdin.read)
 
     async def _serve(self, reader, writer):
         host, _, port = self._target.rpartition(":")
@@ -456,15 +446,32 @@
         except OSError:
             writer.transport.abort()
             return
-        await asyncio.gather(self._pass_on(reader, back), self._pass_on(there, writer))
+        await asyncio.wait(
+            [
+                asyncio.create_task(self._pass_on(reader, back, self._bytes_per_s)),
+                asyncio.create_task(self._pass_on(there, writer, 0)),
+            ],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        reset(writer)
+        reset(back)
 
-    async def _pass_on(self, reader, writer):
-        with contextlib.suppress(OSError, asyncio.CancelledError):
-            while data := await reader.read(64 * 1024):
-                await self._open.wait()
+    async def _pass_on(self, reader, writer, bytes_per_s):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(32 * 1024):
                 writer.write(data)
                 await writer.drain()
-        writer.close()
+                if bytes_per_s:
+                    await asyncio.sleep(len(data) / bytes_per_s)
+
+
+def reset(writer):
+    """Reset a connection."""
+    linger = struct.pack("ii", 1, 0)
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
 
 
 class Gateway:
@@ -571,7 +578,7 @@
     async def is_ready(self):
         try:
             async with asyncio.timeout(1.0):
-                response = await call(self.ready, "GET", "/v1/ready", close=True)
+                response = await call(self.ready, "GET", "/v1/ready")
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             return False
         return response is not None and response.status == 200
@@ -635,12 +642,11 @@
     return response
 
 
-async def call(address, method, path, request_id="r", body=b"", close=False, **options):
+async def call(address, method, path, request_id="r", body=b"", lines=(), **options):
     """Send one request on a connection of its own and return the response."""
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     try:
-        lines = ("Connection: close",) if close else ()
         data = request_bytes(method, path, request_id, body, lines=lines, **options)
         writer.write(data)
         return await read_response(reader)
@@ -818,4 +824,4 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(LinkServer(sys.argv[1]).run())
+    asyncio.run(LinkServer(sys.argv[1], int(sys.argv[2])).run())
