Don't pass on an engine's word that a call hasn't run when it may have

Cause, by a trace (one gateway, an engine that runs each request): the statement "not run" of an engine decided on retries here, but not on what the caller is told. A 503 was a failed attempt, whose answer is passed on when none may follow (415 end=failed, 501 status 503); 408 and 429 counted as answered (501 completed). Ruled out by the same lines: a second attempt that was refused (one 414, no 503 not-run), and a refusal of a peer (no 430).

Now such an answer to a call that can't be retried has an outcome of its own, ambiguous: it may have run, nothing is sent again, and the caller gets 502 without the engine's seal, at once. Calls that can be retried, and all other statuses, get the engine's answer as before. It works on every path because the outcome's rule in the table decides both.

Related paths: a peer of an earlier build passes such answers on; they are known by their seal. A peer's 429 or 503 for a stream that goes on counted as not sent, also when it was its engine's; now only the peer's own does.

--- a/dotterelpitch/gateway/attempt.py
+++ b/dotterelpitch/gateway/attempt.py
@@ -33,7 +33,7 @@
 from dotterelpitch.routing.engines import EngineDirectory
 from dotterelpitch.routing.health import FailureKind
 from dotterelpitch.routing.route_table import CallKind
-from dotterelpitch.upstream.connection import EngineConnection
+from dotterelpitch.upstream.connection import EngineConnection, HttpResponseHead
 from dotterelpitch.upstream.errors import (
     AnswerGarbledError,
     AnswerLostError,
@@ -45,6 +45,7 @@
 )
 from dotterelpitch.upstream.pool import ConnectionPool
 from dotterelpitch.upstream.request_bytes import encode_request
+from dotterelpitch.upstream.status_codes import states_not_run
 
 EVACUATED_REASON = "its failure domain has been evacuated meanwhile"
 
@@ -55,6 +56,9 @@
     ResponseClass.NOT_AUTHENTIC: AttemptOutcome.LOST,
 }
 
+# With these an engine doesn't state that it has not run the request.
+_CLASSES_THAT_MAY_HAVE_RUN = {ResponseClass.ANSWERED, ResponseClass.FAILED}
+
 _FAILURE_BY_ERROR = {
     ConnectRefusedError: FailureKind.REFUSED,
     ConnectFailedError: FailureKind.UNREACHABLE,
@@ -272,6 +276,9 @@
                 _OUTCOME_BY_RESPONSE_CLASS.get(response_class, AttemptOutcome.FAILED),
                 f"status {head.status} in the middle of a stream",
             )
+        if _is_ambiguous(head, response_class, call):
+            reason = f"status {head.status}, not stated as not run"
+            return AttemptResult(AttemptOutcome.AMBIGUOUS, reason, head.status)
         if response_class is not ResponseClass.ANSWERED:
             body = await self._responses.read_buffered(connection, limits)
             if len(body) >= MAX_BUFFERED_BYTES:
@@ -302,3 +309,16 @@
             status=head.status,
             longest_pause_s=pause_s,
         )
+
+
+def _is_ambiguous(
+    head: HttpResponseHead, response_class: ResponseClass, call: Call
+) -> bool:
+    """Return whether a response would tell the caller more than its engine has said.
+
+    The caller sends a request again that hasn't run. That does no harm where it can be
+    retried anyway, so the engine's own response is passed on there.
+    """
+    if call.route.is_retryable or response_class not in _CLASSES_THAT_MAY_HAVE_RUN:
+        return False
+    return states_not_run(head.status)
--- a/dotterelpitch/gateway/engine_tracker.py
+++ b/dotterelpitch/gateway/engine_tracker.py
@@ -38,6 +38,7 @@
 # Attempt outcomes that count as errors in the error rate of an engine.
 _FAILED_OUTCOMES = {
     AttemptOutcome.FAILED,
+    AttemptOutcome.AMBIGUOUS,
     AttemptOutcome.LOST,
     AttemptOutcome.TIMED_OUT,
 }
--- a/dotterelpitch/gateway/peer_forwarder.py
+++ b/dotterelpitch/gateway/peer_forwarder.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections import Counter
-from http import HTTPStatus
 
 from dotterelpitch.clock import Clock
 from dotterelpitch.errors import PeerError, ProtocolError
@@ -18,6 +17,7 @@
     ResponseForwarder,
     ResponseObserver,
 )
+from dotterelpitch.platform.headers import is_sealed
 from dotterelpitch.protocol.forwarded_call_messages import (
     CallDeclined,
     ForwardCall,
@@ -38,6 +38,7 @@
 from dotterelpitch.routing.route_table import CallKind
 from dotterelpitch.telemetry.events import Event, log_event
 from dotterelpitch.upstream.errors import AnswerLostError
+from dotterelpitch.upstream.status_codes import states_not_run
 
 # A peer that can't be connected to within this time is left out.
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -45,8 +46,6 @@
 DECLINED_SECONDS = 1.0
 # A call is offered to this many peers.
 MAX_PEERS_ASKED = 3
-# With these a peer, or its engine, promises that it hasn't run the call.
-REFUSALS = {HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE}
 # The peer answers at the call's deadline; this is how long that may take to arrive.
 ANSWER_GRACE_SECONDS = 0.15
 
@@ -213,9 +212,14 @@
             )
         elif writer.is_started:
             reason = f"the peer answered {message.status} in the middle"
-            if message.status in REFUSALS:
+            if _is_own_refusal(response):
                 return AttemptResult(AttemptOutcome.NOT_SENT, reason)
             raise AnswerLostError(reason)
+        elif _is_ambiguous(response, call):
+            reason = f"an engine's status {message.status} from a peer"
+            return AttemptResult(
+                AttemptOutcome.AMBIGUOUS, reason, status=message.status
+            )
         else:
             await self._responses.forward_response(
                 response, response.head, limits, writer, observer
@@ -223,3 +227,19 @@
         return AttemptResult(
             AttemptOutcome.DELIVERED, status=message.status, longest_pause_s=pause_s
         )
+
+
+def _is_own_refusal(response: PeerResponse) -> bool:
+    """Return whether a peer says that it hasn't run a call, and no engine has."""
+    head = response.head
+    return states_not_run(head.status) and not is_sealed(head.value_by_name)
+
+
+def _is_ambiguous(response: PeerResponse, call: Call) -> bool:
+    """Return whether a peer passes on what its engine may have said after a run.
+
+    Peers of earlier builds do for calls that can't be retried.
+    """
+    head = response.head
+    is_of_engine = states_not_run(head.status) and is_sealed(head.value_by_name)
+    return is_of_engine and not call.route.is_retryable
--- a/dotterelpitch/platform/headers.py
+++ b/dotterelpitch/platform/headers.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
+from http import HTTPStatus
 
 from attrs import frozen
 
@@ -51,8 +52,6 @@
 _NOT_FORWARDED_TO_ENGINE = _HOP_BY_HOP_HEADERS | _RESERVED_HEADERS
 _NOT_FORWARDED_TO_CALLER = _HOP_BY_HOP_HEADERS | {_SERVER_LOAD}
 
-_MISDIRECTED = 421
-
 Headers = list[tuple[str, str]]
 
 
@@ -151,19 +150,23 @@
 
     The names in ``value_by_name`` are in lower case.
     """
-    if status == _MISDIRECTED:
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
         return ResponseClass.MISDIRECTED
     if _NOT_EXECUTED in value_by_name:
         return ResponseClass.NOT_RUN
     if status >= 500:
         return ResponseClass.FAILED
-    if 200 <= status < 300 and _RESPONSE_SEAL not in value_by_name:
-        return ResponseClass.NOT_AUTHENTIC
-    if "content-encoding" in value_by_name:
+    is_unproved = 200 <= status < 300 and not is_sealed(value_by_name)
+    if is_unproved or "content-encoding" in value_by_name:
         return ResponseClass.NOT_AUTHENTIC
     return ResponseClass.ANSWERED
 
 
+def is_sealed(value_by_name: Mapping[str, str]) -> bool:
+    """Return whether an engine has sent a response, which its seal proves."""
+    return _RESPONSE_SEAL in value_by_name
+
+
 def decode_engine_id(value_by_name: Mapping[str, str]) -> str:
     """Return the id in an engine's response to a health request, or ""."""
     return value_by_name.get(_INSTANCE_ID, "")
--- a/dotterelpitch/platform/vm_settings.py
+++ b/dotterelpitch/platform/vm_settings.py
@@ -1,11 +1,10 @@
 """Decodes the settings file that the platform provides to each process."""
 
-import json
 from pathlib import Path
 from typing import Any
 
 from dotterelpitch.errors import PlatformError, SettingsError
-from dotterelpitch.platform._fields import read_field, read_seconds
+from dotterelpitch.platform._fields import decode_json, read_field, read_seconds
 from dotterelpitch.routing.cold_engines import ColdTolerance
 from dotterelpitch.settings import check_address
 from dotterelpitch.vm_settings import FleetBounds, VmSettings
@@ -17,12 +16,8 @@
     Raises SettingsError with a one-line message that names the invalid field.
     """
     try:
-        content = json.loads(Path(path).read_text())
-    except (OSError, ValueError) as error:
-        raise SettingsError(f"{path}: {error}") from error
-    try:
-        return _decode(content)
-    except (PlatformError, ValueError) as error:
+        return _decode(decode_json(Path(path).read_bytes()))
+    except (OSError, PlatformError, ValueError) as error:
         raise SettingsError(f"{path}: {error}") from error
 
 
--- a/dotterelpitch/routing/attempt_outcomes.py
+++ b/dotterelpitch/routing/attempt_outcomes.py
@@ -8,14 +8,16 @@
 class AttemptOutcome(StrEnum):
     """Outcome of one attempt at an engine; the values are logged and counted.
 
-    After a NOT_SENT or REJECTED attempt the request can't have run; after FAILED,
-    LOST, or TIMED_OUT it may have.
+    After a NOT_SENT or REJECTED attempt the request can't have run; after the others
+    but DELIVERED it may have. AMBIGUOUS is a response whose status tells a caller that
+    its request hasn't run, though its engine doesn't say so.
     """
 
     DELIVERED = "delivered"
     NOT_SENT = "not-sent"
     REJECTED = "rejected"
     FAILED = "failed"
+    AMBIGUOUS = "ambiguous"
     LOST = "lost"
     TIMED_OUT = "timed-out"
 
@@ -47,6 +49,7 @@
     AttemptOutcome.NOT_SENT: RetryRule(False, False, FinalResponse.REFUSAL),
     AttemptOutcome.REJECTED: RetryRule(False, True, FinalResponse.REFUSAL),
     AttemptOutcome.FAILED: RetryRule(True, True, FinalResponse.ENGINE_RESPONSE),
+    AttemptOutcome.AMBIGUOUS: RetryRule(True, True, FinalResponse.BAD_GATEWAY),
     AttemptOutcome.LOST: RetryRule(True, True, FinalResponse.BAD_GATEWAY),
     AttemptOutcome.TIMED_OUT: RetryRule(True, True, FinalResponse.TIMEOUT),
 }
--- a/tests/test_attempt_rules.py
+++ b/tests/test_attempt_rules.py
@@ -28,6 +28,7 @@
         (AttemptOutcome.NOT_SENT, FinalResponse.REFUSAL),
         (AttemptOutcome.REJECTED, FinalResponse.REFUSAL),
         (AttemptOutcome.FAILED, FinalResponse.ENGINE_RESPONSE),
+        (AttemptOutcome.AMBIGUOUS, FinalResponse.BAD_GATEWAY),
         (AttemptOutcome.LOST, FinalResponse.BAD_GATEWAY),
         (AttemptOutcome.TIMED_OUT, FinalResponse.TIMEOUT),
     ],
--- a/tests/test_keyed_endpoint.py
+++ b/tests/test_keyed_endpoint.py
@@ -83,6 +83,8 @@
     [
         (OK, Outcome.COMPLETED),
         (UNAVAILABLE, Outcome.FAILED),
+        (UNAVAILABLE.replace(b"503", b"408"), Outcome.FAILED),
+        (UNAVAILABLE.replace(b"503", b"429"), Outcome.FAILED),
         # The connection closes before the response, and before the end of its body.
         (b"", Outcome.UNKNOWN),
         (OK[:-1], Outcome.UNKNOWN),
--- a/tests/test_peer_forwarding_wire.py
+++ b/tests/test_peer_forwarding_wire.py
@@ -165,15 +165,19 @@
     writer.abort()
 
 
-def answer_with(status):
+def answer_with(status, headers=()):
     """Return a script that answers as a peer of an earlier version may."""
 
     async def script(call, writer):
-        await writer.send_response(status, [], b"no")
+        await writer.send_response(status, headers, b"no")
 
     return script
 
 
+# What a peer passes on for its engine, which may have run the call.
+answer_of_engine = answer_with(503, [("Response-Seal", "s")])
+
+
 async def hang(call, writer):
     await asyncio.Event().wait()
 
@@ -199,6 +203,8 @@
             True,
         ),
         (refuse, "/unsafe/1", b"", AttemptOutcome.DELIVERED, 503, b"{}", True),
+        (answer_of_engine, "/unsafe/1", b"", AttemptOutcome.AMBIGUOUS, 0, b"", False),
+        (answer_of_engine, "/safe/1", b"", AttemptOutcome.DELIVERED, 503, b"no", True),
         (
             stream_events,
             "/resumable/1",
@@ -227,6 +233,22 @@
     assert gateways.writer.has_ended is has_ended
 
 
+# Guards against: what an engine may have run counts as not sent, and goes to one more
+# engine than the route allows.
+@pytest.mark.parametrize(
+    ("script", "outcome"),
+    [
+        (refuse, AttemptOutcome.NOT_SENT),
+        (answer_of_engine, AttemptOutcome.LOST),
+    ],
+)
+async def test_stream_that_a_peer_does_not_take_up(gateways, script, outcome):
+    gateways.forwarder.script = script
+    gateways.writer.is_started = True
+    result = await gateways.run("/resumable/1")
+    assert result.outcome is outcome
+
+
 # Guards against: the engine goes on working for a caller that has left.
 async def test_caller_that_leaves_cancels_the_work_at_the_peer(gateways):
     gateways.forwarder.script = hang
