Take a process's signals from its first line to its last

Cause, by /proc/PID/status of three starts and stops: SIGTERM was caught from 0.020 to 0.025 s on, SIGHUP only from 0.23 to 0.37 s on, when the event loop ran; between the two it has its default action. The same page showed a second time without handlers: from 2.41 s after SIGTERM on, for 0.1 s, any signal ends a process that has all but ended, with the signal's code. Ruled out: a handler that runs too early (code -1, no line), and the changed settings (without the signal the process goes on).

Now SIGHUP, SIGINT, and SIGTERM are taken in the first line and written to a pipe; the loop reads it once all is there that reloaded settings apply to. A SIGHUP during a start is so handled, not dropped. At the end they are ignored, which neither the loop's end nor Python's undoes. The store's client is made before, since a reload between the two was applied to nothing.

Related paths: agents and routers had no handler of SIGHUP at any time; they take the same signals now and have nothing to reload.

--- a/dotterelpitch/agent/__main__.py
+++ b/dotterelpitch/agent/__main__.py
@@ -1,14 +1,20 @@
 """The command ``dotterelpitch-agent``."""
 
-from dotterelpitch.agent.app import Agent
-from dotterelpitch.agent.settings import AgentSettings
-from dotterelpitch.cli.program import Command, run_program
-from dotterelpitch.telemetry.events import configure_logging
+from dotterelpitch.process_signals import ProcessSignals
+
+# Before the other imports: a signal without a handler would end the process.
+signals = ProcessSignals.take()
+
+from dotterelpitch.agent.app import Agent  # noqa: E402
+from dotterelpitch.agent.settings import AgentSettings  # noqa: E402
+from dotterelpitch.cli.program import Command, run_program  # noqa: E402
+from dotterelpitch.telemetry.events import configure_logging  # noqa: E402
 
 
 async def _run(settings: AgentSettings) -> None:
     configure_logging(settings.log_level)
-    await Agent(settings).run()
+    await Agent(settings).run(signals)
+    signals.ignore()
 
 
 def main() -> None:
--- a/dotterelpitch/agent/app.py
+++ b/dotterelpitch/agent/app.py
@@ -1,7 +1,6 @@
 """The agent process: wires its components, runs its tasks, and shuts down."""
 
 import asyncio
-import signal
 from collections.abc import Coroutine
 
 import aiohttp
@@ -17,6 +16,7 @@
 from dotterelpitch.agent.state_feed import StateFeed
 from dotterelpitch.clock import Clock, SystemClock
 from dotterelpitch.placement.view import PlacementView
+from dotterelpitch.process_signals import STOP_SIGNALS, ProcessSignals
 from dotterelpitch.protocol.handshake import Identity
 from dotterelpitch.protocol.messages import WatchState
 from dotterelpitch.protocol.server import HandlerTable, InnerServer
@@ -66,11 +66,9 @@
         )
         self.operator_api.register(self.handlers)
 
-    async def run(self) -> None:
+    async def run(self, signals: ProcessSignals) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
-        loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self.request_stop)
+        signals.handle(dict.fromkeys(STOP_SIGNALS, self.request_stop))
         await self.serve()
 
     def request_stop(self) -> None:
--- a/dotterelpitch/gateway/__main__.py
+++ b/dotterelpitch/gateway/__main__.py
@@ -1,10 +1,11 @@
 """The command ``dotterelpitch-gateway``."""
 
-import signal
 import sys
 
-# A SIGTERM during the imports has nothing to drain: exit with 0 as well.
-signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+from dotterelpitch.process_signals import ProcessSignals
+
+# Before the other imports: a signal without a handler would end the process.
+signals = ProcessSignals.take()
 # No connection of the gateway uses TLS. Without the module, aiohttp doesn't load
 # certificates when it is imported, which takes a third of the startup time. Without
 # OpenSSL's hash functions, hashlib uses its own, and a process is over 3 MB smaller.
@@ -21,7 +22,8 @@
 async def _run(settings: GatewaySettings) -> None:
     configure_line_logging(settings.log_level, settings.log_lines_per_second)
     vm = read_vm_settings(settings.settings)
-    await Gateway(settings, vm).run()
+    await Gateway(settings, vm).run(signals)
+    signals.ignore()
 
 
 def main() -> None:
--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -52,6 +52,7 @@
 from dotterelpitch.gateway.successor_finder import SuccessorFinder
 from dotterelpitch.gateway.version_history_exchange import VersionHistoryExchange
 from dotterelpitch.platform.store import StoreClient
+from dotterelpitch.process_signals import STOP_SIGNALS, ProcessSignals
 from dotterelpitch.protocol.forwarded_call_messages import ForwardCall
 from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
 from dotterelpitch.protocol.handshake import Identity
@@ -195,9 +196,27 @@
             settings.settings, vm, self._apply_settings
         )
 
-    async def run(self) -> None:
+    async def run(self, signals: ProcessSignals) -> None:
         """Serve until SIGTERM or SIGINT, then drain the open requests."""
-        self._install_signal_handlers()
+        async with aiohttp.ClientSession() as session:
+            self._create_store_watcher(session)
+            # From here on, all that reloaded settings apply to is there.
+            self._handle_signals(signals)
+            await self._serve()
+        self.pool.close()
+        self._peer_pool.close()
+        log_event(Event.PROCESS_STOPPED, vm=self._vm.vm_name, role="gateway")
+
+    def _create_store_watcher(self, session: aiohttp.ClientSession) -> None:
+        outage_timing = OutageTiming.for_contact(self._vm.promises.contact_s)
+        self._store = StoreClient(self._vm.store_address, session)
+        self._store.connect_timeout_s = outage_timing.connect_timeout_s
+        self._store_watcher = StoreWatcher(
+            self.state, self._store, self._reader_selection, outage_timing
+        )
+
+    async def _serve(self) -> None:
+        """Open the listeners and run all tasks until a stop has been drained."""
         self.metrics.start()
         listeners = Listeners.create(
             self._clock,
@@ -214,38 +233,27 @@
         )
         inner = InnerServer(self._identity, self.handlers)
         await inner.start(self._vm.peer_listen)
-        async with aiohttp.ClientSession() as session:
-            outage_timing = OutageTiming.for_contact(self._vm.promises.contact_s)
-            self._store = StoreClient(self._vm.store_address, session)
-            self._store.connect_timeout_s = outage_timing.connect_timeout_s
-            self._store_watcher = StoreWatcher(
-                self.state, self._store, self._reader_selection, outage_timing
-            )
-            expiry_timer = ExpiryTimer(self._clock, self.state)
-            tasks = [
-                asyncio.create_task(keep_running("store", self._store_watcher.run)),
-                asyncio.create_task(keep_running("expiry", expiry_timer.run)),
-                asyncio.create_task(keep_running("peers", self._peer_links.run)),
-                asyncio.create_task(keep_running("crashes", self.crash_watcher.run)),
-                asyncio.create_task(keep_running("contact", self.contact_watcher.run)),
-                asyncio.create_task(
-                    keep_running("leaving", self.leaving_engine_checker.run)
-                ),
-                asyncio.create_task(keep_running("intake", listeners.pace)),
-                asyncio.create_task(
-                    keep_running("sweep", partial(self._sweep, listeners.callers))
-                ),
-            ]
-            log_event(Event.PROCESS_STARTED, vm=self._vm.vm_name, role="gateway")
-            await self._stop.wait()
-            await self._drain(listeners)
-            for task in tasks:
-                task.cancel()
+        run_by_name = {
+            "store": self._store_watcher.run,
+            "expiry": ExpiryTimer(self._clock, self.state).run,
+            "peers": self._peer_links.run,
+            "crashes": self.crash_watcher.run,
+            "contact": self.contact_watcher.run,
+            "leaving": self.leaving_engine_checker.run,
+            "intake": listeners.pace,
+            "sweep": partial(self._sweep, listeners.callers),
+        }
+        tasks = [
+            asyncio.create_task(keep_running(name, run))
+            for name, run in run_by_name.items()
+        ]
+        log_event(Event.PROCESS_STARTED, vm=self._vm.vm_name, role="gateway")
+        await self._stop.wait()
+        await self._drain(listeners)
+        for task in tasks:
+            task.cancel()
         listeners.close()
         await inner.close()
-        self.pool.close()
-        self._peer_pool.close()
-        log_event(Event.PROCESS_STOPPED, vm=self._vm.vm_name, role="gateway")
 
     def _create_forwarder(
         self, status_recorder: EngineStatusRecorder, run_check: RunCheck
@@ -442,11 +450,12 @@
             self.engine_pauses.retain(remembered_ids)
             self.engine_speeds.retain(remembered_ids)
 
-    def _install_signal_handlers(self) -> None:
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._settings_reloader.reload)
+    def _handle_signals(self, signals: ProcessSignals) -> None:
+        callback_by_signal = {
+            **dict.fromkeys(STOP_SIGNALS, self._stop.set),
+            signal.SIGHUP: self._settings_reloader.reload,
+        }
+        signals.handle(callback_by_signal)
 
     def _apply_state_bounds(self, promises: FleetBounds) -> None:
         """Let the state of the store keep the deployment's bounds."""
--- a/dotterelpitch/router/app.py
+++ b/dotterelpitch/router/app.py
@@ -1,12 +1,12 @@
 """The router process: its servers, its tasks, and its graceful shutdown."""
 
 import asyncio
-import signal
 
 import aiohttp
 from aiohttp import web
 
 from dotterelpitch.clock import SystemClock
+from dotterelpitch.process_signals import STOP_SIGNALS, ProcessSignals
 from dotterelpitch.protocol.chat_move_messages import ChatMoved
 from dotterelpitch.protocol.digest_messages import DigestPush
 from dotterelpitch.protocol.explain_messages import ExplainRequest
@@ -51,9 +51,9 @@
         self.hub = RoutingHub(settings.vm_name, self.clock, self.state)
         self._background_tasks: list[asyncio.Task] = []
 
-    async def run(self) -> None:
+    async def run(self, signals: ProcessSignals) -> None:
         """Serve until SIGTERM or SIGINT, then let open requests finish."""
-        self._install_signal_handlers()
+        signals.handle(dict.fromkeys(STOP_SIGNALS, self._shutdown.request))
         settings = self.settings
         identity = Identity.create(settings.vm_name, "router", settings.cluster_key)
         peers = PeerPool(identity, self.handlers.handle)
@@ -97,11 +97,6 @@
         """Start the graceful shutdown, or end its wait if it has started already."""
         self._shutdown.request()
 
-    def _install_signal_handlers(self) -> None:
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._shutdown.request)
-
     def _create_http_api(
         self,
         router_client: RouterClient,
--- a/tests/harness/gateway_soak/fleet.py
+++ b/tests/harness/gateway_soak/fleet.py
@@ -48,6 +48,8 @@
 RETRY_SLACK = 40
 DRAIN_SECONDS = 2.0
 READY_CHECK_SECONDS = 0.5
+# For so many of the starts the settings change meanwhile.
+RELOAD_AT_START_SHARE = 0.5
 # How long an engine is down that a request has crashed.
 CRASH_SECONDS_RANGE = (0.5, 3.0)
 
@@ -213,9 +215,15 @@
         self.store.delete(f"servers/{engine.id}")
 
     async def restart(self, vm: SoakVm) -> None:
-        """Start the process of a VM again and wait until it is ready or a timeout."""
+        """Start the process of a VM again and wait until it is ready or a timeout.
+
+        For half of the starts the settings change while the process starts.
+        """
         await vm.gateway.process.start()
         vm.is_down = False
+        if self.random.random() < RELOAD_AT_START_SHARE:
+            await vm.gateway.process.wait_takes_stops()
+            self.reload(vm, with_signal=True)
         with contextlib.suppress(AssertionError):
             await vm.gateway.wait_ready()
 
--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -11,7 +11,10 @@
 from pathlib import Path
 from typing import Any
 
+from tests.harness.waiting import eventually
+
 REPOSITORY = Path(__file__).resolve().parents[2]
+START_SECONDS = 15.0
 STOP_SECONDS = 10.0
 MAX_LINE_BYTES = 1024 * 1024
 MAX_KEPT_LINES = 200_000
@@ -82,9 +85,30 @@
         return self._child is not None and self._child.returncode is None
 
     def send_signal(self, number: int) -> None:
-        """Send a signal unless the process has exited."""
+        """Send a signal unless the process has exited.
+
+        The method of asyncio's process would take the exit code of one that has just
+        ended, so that nobody else gets to know it.
+        """
         if self.running:
-            self._child.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, number)
+
+    async def wait_takes_stops(self) -> None:
+        """Return as soon as the process has a handler of SIGTERM, or has exited."""
+        await eventually(self._takes_stops, START_SECONDS, f"{self.name} takes SIGTERM")
+
+    def _takes_stops(self) -> bool:
+        """Return whether SIGTERM is in the mask of signals that are caught."""
+        try:
+            status = Path(f"/proc/{self.pid}/status").read_text()
+        except OSError:
+            return True
+        masks = [line for line in status.splitlines() if line.startswith("SigCgt:")]
+        if not masks:  # It has just exited.
+            return True
+        caught = int(masks[0].split()[1], 16)
+        return bool(caught >> (signal.SIGTERM - 1) & 1)
 
     def pause(self) -> None:
         """Suspend the process, as a pause of its VM does (SIGSTOP)."""
