Know a changed settings file by its content

What was seen: settings that change without a signal and leave the file's size and modification time as they were are never in force. One of the two is easy: an address has another port of as many digits. The other: the file system's clock has ticks of some milliseconds, and the version (time and size) was noted after the file had been read, so what changed between the two was taken for known (by reading).

Now the content tells, noted before the settings are read from it, at the start too; the file is looked at once more as soon as signals are handled. The content is a few kB, read once a second. The time for a planned stop, one of the bounds of the file, is that of the last reload; before it was that of the start (by reading).

--- a/dotterelpitch/gateway/__main__.py
+++ b/dotterelpitch/gateway/__main__.py
@@ -15,14 +15,15 @@
 from dotterelpitch.cli.program import Command, run_program  # noqa: E402
 from dotterelpitch.gateway.app import Gateway  # noqa: E402
 from dotterelpitch.gateway.settings import GatewaySettings  # noqa: E402
-from dotterelpitch.platform.vm_settings import read_vm_settings  # noqa: E402
+from dotterelpitch.gateway.settings_reload import SettingsFile  # noqa: E402
 from dotterelpitch.telemetry.events import configure_line_logging  # noqa: E402
 
 
 async def _run(settings: GatewaySettings) -> None:
     configure_line_logging(settings.log_level, settings.log_lines_per_second)
-    vm = read_vm_settings(settings.settings)
-    await Gateway(settings, vm).run(signals)
+    settings_file = SettingsFile(settings.settings)
+    vm = settings_file.read()
+    await Gateway(settings, vm, settings_file).run(signals)
     signals.ignore()
 
 
--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -41,7 +41,7 @@
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.record_exchange import RecordExchange
 from dotterelpitch.gateway.settings import GatewaySettings
-from dotterelpitch.gateway.settings_reload import SettingsReloader
+from dotterelpitch.gateway.settings_reload import SettingsFile, SettingsReloader
 from dotterelpitch.gateway.shared_checks import SharedChecks
 from dotterelpitch.gateway.state import GatewayState
 from dotterelpitch.gateway.store_timing import OutageTiming, StoreTiming
@@ -88,9 +88,12 @@
 class Gateway:
     """The components of one gateway process."""
 
-    def __init__(self, settings: GatewaySettings, vm: VmSettings) -> None:
+    def __init__(
+        self, settings: GatewaySettings, vm: VmSettings, settings_file: SettingsFile
+    ) -> None:
         self._settings = settings
         self._vm = vm
+        self._stop_grace_s = vm.promises.stop_grace_s
         self._clock = SteadyClock()
         self._stop = asyncio.Event()
         self.state = GatewayState(self._clock)
@@ -193,7 +196,7 @@
         )
         self._peer_links = self._create_peer_links()
         self._settings_reloader = SettingsReloader(
-            settings.settings, vm, self._apply_settings
+            settings_file, vm, self._apply_settings
         )
 
     async def run(self, signals: ProcessSignals) -> None:
@@ -202,6 +205,7 @@
             self._create_store_watcher(session)
             # From here on, all that reloaded settings apply to is there.
             self._handle_signals(signals)
+            self._settings_reloader.check()
             await self._serve()
         self.pool.close()
         self._peer_pool.close()
@@ -400,7 +404,7 @@
         )
         self.ingress.is_stopping = True
         self.peer_calls.is_stopping = True
-        grace_s = self._vm.promises.stop_grace_s - STOP_MARGIN_SECONDS
+        grace_s = self._stop_grace_s - STOP_MARGIN_SECONDS
         try:
             async with asyncio.timeout(grace_s):
                 await asyncio.sleep(min(LINGER_SECONDS, grace_s / 2))
@@ -470,6 +474,7 @@
 
     def _apply_settings(self, vm: VmSettings) -> None:
         """Apply the settings that don't need a restart."""
+        self._stop_grace_s = vm.promises.stop_grace_s
         self._topology.seeds = tuple(vm.seeds)
         self._apply_state_bounds(vm.promises)
         timing = self._store_timing(vm.promises)
--- a/dotterelpitch/gateway/settings_reload.py
+++ b/dotterelpitch/gateway/settings_reload.py
@@ -1,7 +1,7 @@
 """Reloads the platform's settings file, on a signal or when it changes."""
 
-import os
 from collections.abc import Callable
+from pathlib import Path
 
 import attrs
 
@@ -16,25 +16,54 @@
 ApplySettings = Callable[[VmSettings], None]
 
 
+class SettingsFile:
+    """The settings file, and its content when it was last read.
+
+    The content is compared, since neither the size nor the time of a file need change
+    with it.
+    """
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._content = b""
+
+    def read(self) -> VmSettings:
+        """Return the settings; raises SettingsError if the file is invalid."""
+        # First, so that a change in between counts as one after the read.
+        self._content = self._read_content()
+        return read_vm_settings(self._path)
+
+    def has_changed(self) -> bool:
+        """Return whether the content has changed since the settings were read."""
+        return self._read_content() != self._content
+
+    def _read_content(self) -> bytes:
+        """Return the bytes of the file; none if it can't be read."""
+        try:
+            return Path(self._path).read_bytes()
+        except OSError:
+            return b""
+
+
 class SettingsReloader:
     """Passes changed settings to ``apply``; an invalid file changes nothing."""
 
-    def __init__(self, path: str, current: VmSettings, apply: ApplySettings) -> None:
-        self._path = path
+    def __init__(
+        self, file: SettingsFile, current: VmSettings, apply: ApplySettings
+    ) -> None:
+        self._file = file
         self._current = current
         self._apply = apply
-        self._file_version = self._read_file_version()
 
     def check(self) -> None:
         """Reload the file if it has changed since it was last read."""
-        if self._read_file_version() != self._file_version:
+        if self._file.has_changed():
             self.reload()
 
     def reload(self) -> None:
         """Read the file and apply it; log the fields that need a restart."""
-        self._file_version = self._read_file_version()
         try:
-            new = read_vm_settings(self._path)
+            new = self._file.read()
         except SettingsError as error:
             log_event(Event.SETTINGS_KEPT, reason=str(error))
             return
@@ -47,14 +76,6 @@
             needs_restart=sorted(changed - RELOADABLE_FIELDS),
         )
 
-    def _read_file_version(self) -> tuple[int, int] | None:
-        """Return the modification time and size of the file; None if it is missing."""
-        try:
-            status = os.stat(self._path)
-        except OSError:
-            return None
-        return status.st_mtime_ns, status.st_size
-
 
 def _changed_fields(old: VmSettings, new: VmSettings) -> set[str]:
     names = [field.name for field in attrs.fields(VmSettings)]
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -1,6 +1,7 @@
 """Signals to processes that start, run, and end, and what they announce."""
 
 import asyncio
+import os
 import signal
 
 import pytest
@@ -85,6 +86,24 @@
         await starting.fleet.stop()
 
 
+# Guards against: a change that leaves size and time of the file as they were is never
+# seen, such as one between a start's two looks at it.
+@pytest.mark.parametrize("moment_s", MOMENTS)
+async def test_settings_that_change_without_a_trace_are_in_force(tmp_path, moment_s):
+    starting = Starting(tmp_path)
+    try:
+        await starting.start()
+        path = starting.gateway.settings_path
+        before = path.stat()
+        await pause(moment_s)
+        starting.change()
+        os.utime(path, ns=(before.st_atime_ns, before.st_mtime_ns))
+        assert path.stat().st_size == before.st_size
+        await starting.uses_the_store()
+    finally:
+        await starting.fleet.stop()
+
+
 # Guards against: settings that are written as the signal comes are read in halves, and
 # the other half never.
 async def test_settings_that_are_half_written_are_read_again(tmp_path):
