Wait for a settings file that is written as a process starts

What was seen: a gateway whose settings file was half written as it read it, at its start, ended with code 2; the platform writes that file at every start and at every change, and nothing says that it does so in one step.

Now the file has a second in which it becomes valid; an invalid one ends the start after that, as before.

--- a/dotterelpitch/gateway/__main__.py
+++ b/dotterelpitch/gateway/__main__.py
@@ -22,7 +22,7 @@
 async def _run(settings: GatewaySettings) -> None:
     configure_line_logging(settings.log_level, settings.log_lines_per_second)
     settings_file = SettingsFile(settings.settings)
-    vm = settings_file.read()
+    vm = await settings_file.read_at_start()
     await Gateway(settings, vm, settings_file).run(signals)
     signals.ignore()
 
--- a/dotterelpitch/gateway/settings_reload.py
+++ b/dotterelpitch/gateway/settings_reload.py
@@ -1,5 +1,6 @@
 """Reloads the platform's settings file, on a signal or when it changes."""
 
+import asyncio
 from collections.abc import Callable
 from pathlib import Path
 
@@ -13,6 +14,10 @@
 # Fields that a running process can apply; the others take effect at the next start.
 RELOADABLE_FIELDS = frozenset({"seeds", "store_address", "promises"})
 
+# A file may just be written as a process starts, so it has this long to be valid.
+START_SECONDS = 1.0
+START_POLL_SECONDS = 0.05
+
 ApplySettings = Callable[[VmSettings], None]
 
 
@@ -33,6 +38,18 @@
         self._content = self._read_content()
         return read_vm_settings(self._path)
 
+    async def read_at_start(self) -> VmSettings:
+        """Return the settings once the file is valid.
+
+        Raises SettingsError if it still isn't after ``START_SECONDS``.
+        """
+        for _ in range(int(START_SECONDS / START_POLL_SECONDS)):
+            try:
+                return self.read()
+            except SettingsError:
+                await asyncio.sleep(START_POLL_SECONDS)
+        return self.read()
+
     def has_changed(self) -> bool:
         """Return whether the content has changed since the settings were read."""
         return self._read_content() != self._content
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -32,6 +32,13 @@
 }
 
 
+def cut_in_half(path):
+    """Leave the first half of a file; return what it was."""
+    content = path.read_text()
+    path.write_text(content[: len(content) // 2])
+    return content
+
+
 class Starting:
     """A gateway whose settings name a store that isn't there.
 
@@ -41,13 +48,15 @@
     def __init__(self, folder):
         self.fleet = GatewayFleet(folder)
 
-    async def start(self):
+    async def start(self, is_file_whole=True):
         """Start the store and the gateway; return once it has taken its signals."""
         self.fleet.engines = []
         await self.fleet.store.start(free_address())
         self.fleet.store.put("op/config", make_config(1))
         self.gateway = self.fleet.add_gateway(free_address())
         self.process = self.gateway.process
+        if not is_file_whole:
+            cut_in_half(self.gateway.settings_path)
         await self.process.start()
         await self.process.wait_takes_stops()
 
@@ -113,8 +122,7 @@
         await eventually(lambda: starting.process.events(101), CHANGE_SECONDS)
         starting.change()
         path = starting.gateway.settings_path
-        content = path.read_text()
-        path.write_text(content[: len(content) // 2])
+        content = cut_in_half(path)
         starting.process.send_signal(HANGUP)
         await eventually(lambda: starting.process.events(105), CHANGE_SECONDS)
         path.write_text(content)
@@ -123,6 +131,18 @@
         await starting.fleet.stop()
 
 
+# Guards against: settings that are written as a process starts end it.
+async def test_settings_that_are_half_written_at_a_start_are_waited_for(tmp_path):
+    starting = Starting(tmp_path)
+    try:
+        await starting.start(is_file_whole=False)
+        await pause(RUNNING_SECONDS)
+        starting.change()
+        await starting.uses_the_store()
+    finally:
+        await starting.fleet.stop()
+
+
 async def signal_until_end(process, numbers):
     """Send signals again and again until a process has ended; return its code."""
     ended = asyncio.create_task(process.wait_or_kill())
