Count a call to a peer as sent once its end is queued

Cause: the end of a call was queued first, and then the buffer waited for, which all calls to that peer share; a failure of that wait counted as "the peer hasn't all of it". With a body the wait comes before the end.

Now the buffer is waited for before a call is begun, and the end is queued last, without a wait. What fails before can't run, what fails after may have: 502 or 504, and no other peer.

--- a/dotterelpitch/gateway/peer_forwarder.py
+++ b/dotterelpitch/gateway/peer_forwarder.py
@@ -160,17 +160,23 @@
             stream.reset("ended")
 
     async def _send(self, vm: FleetVm, call: Call, progress: CallProgress) -> Stream:
-        """Send a call; if this fails, the peer hasn't all of it and doesn't run it."""
+        """Send a call; if this fails, the peer hasn't all of it and doesn't run it.
+
+        The end of a call is queued last, and not waited for: the peer may run the call
+        from then on, however long it is under way. The calls of others that wait for
+        the same connection are waited for before.
+        """
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
             connection = await self._pool.connection(vm.address)
-        stream = connection.open_stream(self._encode(call, progress))
-        try:
-            async with asyncio.timeout(self._responses.seconds_until(call.deadline)):
+        async with asyncio.timeout(self._responses.seconds_until(call.deadline)):
+            await connection.drain()
+            stream = connection.open_stream(self._encode(call, progress))
+            try:
                 await send_data(stream, call.body)
-                await stream.finish()
-        except BaseException:
-            stream.reset("incomplete")
-            raise
+            except BaseException:
+                stream.reset("incomplete")
+                raise
+        stream.queue_end()
         return stream
 
     def _encode(self, call: Call, progress: CallProgress) -> ForwardCall:
--- a/dotterelpitch/protocol/stream.py
+++ b/dotterelpitch/protocol/stream.py
@@ -60,14 +60,22 @@
             self._grant_credit(len(content.payload))
         return content
 
-    async def finish(self) -> None:
-        """Send End, unless it was sent already or the stream has failed."""
+    def queue_end(self) -> None:
+        """Queue End without waiting; nothing takes it back.
+
+        Does nothing if it was sent already or the stream has failed.
+        """
         if not self._local_ended and self._failure is None:
             self._local_ended = True
             self.connection.write(self.number, End())
-            await self.connection.drain()
             self._remove_if_ended()
 
+    async def finish(self) -> None:
+        """Send End, unless it was sent already or the stream has failed."""
+        if not self._local_ended and self._failure is None:
+            self.queue_end()
+            await self.connection.drain()
+
     def reset(self, code: str, detail: str = "") -> None:
         """Abort the stream and send Reset to the peer; idempotent."""
         if self._failure is None and not (self._local_ended and self._remote_ended):
--- a/tests/test_peer_forwarding_wire.py
+++ b/tests/test_peer_forwarding_wire.py
@@ -6,6 +6,7 @@
 import pytest_asyncio
 
 from dotterelpitch.clock import SteadyClock
+from dotterelpitch.errors import ConnectionLostError
 from dotterelpitch.gateway.body_memory import BodyMemory
 from dotterelpitch.gateway.call import Call, ResponseWriter
 from dotterelpitch.gateway.call_progress import CallProgress
@@ -18,6 +19,7 @@
 from dotterelpitch.platform.config_record import CONFIG_KEY, ConfigDecoder
 from dotterelpitch.platform.headers import decode_caller_headers
 from dotterelpitch.platform.store import StoreRecord, StoreResponse
+from dotterelpitch.protocol.connection import Connection
 from dotterelpitch.protocol.forwarded_call_messages import ForwardCall
 from dotterelpitch.protocol.gateway_messages import LINK_VERSION, FleetVm
 from dotterelpitch.protocol.handshake import Identity
@@ -29,7 +31,7 @@
 from tests.harness.gateway_fleet import ACCOUNT, HOST, make_config
 from tests.harness.ports import free_address
 from tests.harness.store_records import json_record
-from tests.harness.waiting import eventually
+from tests.harness.waiting import eventually, pause
 
 LARGE_BODY = bytes(range(256)) * 4096
 EVENTS = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
@@ -275,6 +277,49 @@
     assert gateways.forwarder.started == is_begun
 
 
+async def drain_never(connection):
+    """Wait as for a buffer that others' calls keep full until the connection ends."""
+    await connection.closed.wait()
+    raise ConnectionLostError("closed")
+
+
+# Guards against: a call that waits behind others' on the link counts as not sent, and
+# is refused or sent to one more peer, though its last frame is on its way and it runs.
+@pytest.mark.parametrize("is_lost", [True, False], ids=["link is lost", "in vain"])
+@pytest.mark.parametrize("body", [b"", b"seat"], ids=["no body", "body"])
+async def test_call_that_does_not_count_as_sent_is_not_run(
+    gateways, monkeypatch, body, is_lost
+):
+    gateways.forwarder.script = hang
+    monkeypatch.setattr(Connection, "drain", drain_never)
+    task = gateways.run("/unsafe/1", body, seconds=0.5)
+    await pause(0.2)
+    if is_lost:
+        await gateways.server.close()
+    result = await task
+    await pause(0.2)
+    assert result.outcome is AttemptOutcome.NOT_SENT
+    assert gateways.forwarder.started == 0
+
+
+# Guards against: a call that has been sent, and may run, counts as not sent since the
+# link is full by then.
+async def test_call_that_has_been_sent_counts_as_sent(gateways, monkeypatch):
+    gateways.forwarder.script = hang
+    drains = []
+
+    async def drain(connection):
+        drains.append(connection)
+        if gateways.forwarder.started:
+            await drain_never(connection)
+
+    monkeypatch.setattr(Connection, "drain", drain)
+    task = gateways.run("/unsafe/1", seconds=0.5)
+    await eventually(lambda: gateways.forwarder.started, 2.0, "the call has begun")
+    assert drains
+    assert (await task).outcome is AttemptOutcome.TIMED_OUT
+
+
 # Guards against: a peer that stops cuts off calls, or takes further ones.
 async def test_peer_that_stops_declines(gateways):
     gateways.forwarder.script = echo
