Move the planned stop of a gateway to a module of its own

app.py, the largest file of the gateway, makes the components and runs them; how a stop drains them is another concept.

--- a/dotterelpitch/gateway/app.py
+++ b/dotterelpitch/gateway/app.py
@@ -37,6 +37,7 @@
 from dotterelpitch.gateway.peer_directory import PeerDirectory
 from dotterelpitch.gateway.peer_forwarder import PeerForwarder
 from dotterelpitch.gateway.peer_links import PeerLinks
+from dotterelpitch.gateway.planned_stop import PlannedStop
 from dotterelpitch.gateway.rate_limit_exchange import RateLimitExchange
 from dotterelpitch.gateway.reader_selection import ReaderSelection
 from dotterelpitch.gateway.record_exchange import RecordExchange
@@ -76,14 +77,6 @@
 from dotterelpitch.upstream.pool import SWEEP_INTERVAL_SECONDS, ConnectionPool
 from dotterelpitch.vm_settings import FleetBounds, VmSettings
 
-# How long connections of callers are still accepted after SIGTERM. The load balancer
-# checks readiness once per second and stops sending callers after two failed checks.
-LINGER_SECONDS = 2.8
-# Bodies that are on their way then may come for so long.
-LAST_BODY_SECONDS = 0.2
-# Remaining requests are aborted this long before the end of the grace period.
-STOP_MARGIN_SECONDS = 0.6
-
 
 class Gateway:
     """The components of one gateway process."""
@@ -93,7 +86,6 @@
     ) -> None:
         self._settings = settings
         self._vm = vm
-        self._stop_grace_s = vm.promises.stop_grace_s
         self._clock = SteadyClock()
         self._stop = asyncio.Event()
         self.state = GatewayState(self._clock)
@@ -186,6 +178,9 @@
             body_memory,
             self.ingress.work,
         )
+        self._planned_stop = PlannedStop(
+            vm.vm_name, self.ingress, self.peer_calls, promises.stop_grace_s
+        )
         self.handlers = HandlerTable()
         self.handlers.add(ForwardCall, self.peer_calls.handle)
         self._reader_selection = ReaderSelection(
@@ -253,7 +248,7 @@
         ]
         log_event(Event.PROCESS_STARTED, vm=self._vm.vm_name, role="gateway")
         await self._stop.wait()
-        await self._drain(listeners)
+        await self._planned_stop.drain(listeners)
         for task in tasks:
             task.cancel()
         listeners.close()
@@ -395,37 +390,6 @@
             vm.vm_name, vm.failure_domain, address, vm.link_mbps, LINK_VERSION
         )
 
-    async def _drain(self, listeners: Listeners) -> None:
-        """Fail readiness checks, then let open requests end within the grace period."""
-        log_event(
-            Event.PROCESS_STOPPING,
-            vm=self._vm.vm_name,
-            open_requests=len(self.ingress.work.names()),
-        )
-        self.ingress.is_stopping = True
-        self.peer_calls.is_stopping = True
-        grace_s = self._stop_grace_s - STOP_MARGIN_SECONDS
-        try:
-            async with asyncio.timeout(grace_s):
-                await asyncio.sleep(min(LINGER_SECONDS, grace_s / 2))
-                await self._stop_taking(listeners)
-                await self.ingress.work.wait_idle()
-                await listeners.callers.wait_closed()
-        except TimeoutError:
-            log_event(Event.STOP_CUT, requests=self.ingress.work.names())
-
-    async def _stop_taking(self, listeners: Listeners) -> None:
-        """Stop accepting, but take the requests that have come or are on their way."""
-        listeners.close_callers()
-        # What is in the sockets' buffers is read and parsed first.
-        for _ in range(2):
-            await asyncio.sleep(0)
-        connections = self.ingress.connections
-        connections.close_unused(listeners.callers.connections)
-        await asyncio.sleep(LAST_BODY_SECONDS)
-        self.ingress.stop_taking()
-        connections.close_unused(listeners.callers.connections)
-
     def _record_restart(self, previous: Engine) -> None:
         """Record that another run has replaced ``previous``, as the registry says."""
         self.engine_tracker.record_engine_restart(previous)
@@ -474,7 +438,7 @@
 
     def _apply_settings(self, vm: VmSettings) -> None:
         """Apply the settings that don't need a restart."""
-        self._stop_grace_s = vm.promises.stop_grace_s
+        self._planned_stop.grace_s = vm.promises.stop_grace_s
         self._topology.seeds = tuple(vm.seeds)
         self._apply_state_bounds(vm.promises)
         timing = self._store_timing(vm.promises)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from dotterelpitch.gateway.app import LAST_BODY_SECONDS
+from dotterelpitch.gateway.planned_stop import LAST_BODY_SECONDS
 from tests.harness.gateway_fleet import GatewayFleet, make_config, request_bytes
 from tests.harness.kept_caller import KeptCaller
 from tests.harness.waiting import eventually
