Read two requests ahead on a connection, not 32

Cause: bodies count from when their request is handled. aiohttp reads up to 32 requests ahead, and a body under 32 kB doesn't stop the reading, so a connection held 1 MB in no budget.

Now the connection isn't read while two requests wait on it. A caller with one request under way never gets there, so ordinary traffic has no more calls.

--- a/dotterelpitch/gateway/caller_protocol.py
+++ b/dotterelpitch/gateway/caller_protocol.py
@@ -28,6 +28,9 @@
 # A caller's connection may need another one to an engine; the rest is for peers, the
 # store, and checks.
 CONNECTION_DESCRIPTOR_SHARE = 0.4
+# Requests that wait on a connection behind the one that is handled. Beyond it nothing
+# is read: their bodies are in no budget yet.
+MAX_WAITING_REQUESTS = 2
 END_OF_HEAD = b"\r\n\r\n"
 
 
@@ -56,6 +59,9 @@
 
     def __init__(self, server: "CallerServer", **settings: Any) -> None:
         super().__init__(server, **settings)
+        # aiohttp has no setting for these.
+        self._max_msg_queue_size = MAX_WAITING_REQUESTS
+        self._msg_queue_resume_size = MAX_WAITING_REQUESTS - 1
         self._server = server
         self._held = bytearray()
         self._is_discarding = False
