Ignore signals from a stop that comes during a start on

test_hangup_changes_nothing_at_agents_and_routers[router-0.0] failed once, in a whole run of beside busy processes: code -1 in place of 0. The router was still starting when its SIGTERM came. That ends a process at once, but its signals weren't ignored then, as they are after a whole run, and Python restores their defaults as it ends: the next SIGHUP ended it by the signal.

Now they are ignored before. Tests: a gateway stopped as soon as it takes signals, and sent more until it has ended; 2 of 2 failed before (-15 and -1), 6 of 6 pass.

--- a/dotterelpitch/process_signals.py
+++ b/dotterelpitch/process_signals.py
@@ -68,6 +68,7 @@
 
     def _received(self, number: int, frame: object) -> None:
         if number in STOP_SIGNALS and not self._has_handlers:
+            self.ignore()
             sys.exit(0)
 
     def _handle_received(self) -> None:
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -167,6 +167,20 @@
         await starting.fleet.stop()
 
 
+# Guards against: the same for a stop that comes while a process starts.
+@pytest.mark.parametrize("numbers", [(HANGUP,), (STOP, HANGUP)])
+async def test_signals_during_a_stop_of_a_starting_process_change_nothing(
+    tmp_path, numbers
+):
+    starting = Starting(tmp_path)
+    try:
+        await starting.start()
+        starting.process.send_signal(STOP)
+        assert await signal_until_end(starting.process, numbers) == 0
+    finally:
+        await starting.fleet.stop()
+
+
 # Guards against: a SIGHUP ends an agent or a router, which have nothing to reload.
 @pytest.mark.parametrize("moment_s", [0.0, 0.2, 1.0])
 @pytest.mark.parametrize("role", OWN_PROCESSES)
